Spread list calls over the hosts and back off when they fail

All hosts asked discovery at their start, and those that failed asked again after 0.7 to 1.4 s for ever. Discovery serves calls in turn and pays for those that waited too long, so it stayed full and served nobody: 'discovery answered 'http/1.1 503 service unavailable'' at 5.027, 8.011, 10.764 ... in n0's log.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,7 +48,11 @@
 const FULL_PAUSE: Micros = 20_000;
 /// Share of errors among answers from which a node gets no new objects.
 const ERROR_SHARE: f64 = 0.25;
-/// After a failed list call the next waits between one and two of these, after one without answer this.
+/// Discovery serves all hosts in turn, and a call that has waited too long costs it as much as one that is
+/// served: hosts that start together spread their first calls over this for each other host.
+const WATCH_SPREAD: Micros = 50_000;
+/// After a failed list call the next waits for this at least, twice as long after each further failure, and
+/// as long again or that spread by chance; after one without answer for the other.
 const WATCH_AGAIN: Micros = 700_000;
 const WATCH_LOST: Micros = 6_000_000;
 /// Part of due reservations that a cold node gets, for each part of its capacity that is certain: with
@@ -185,6 +189,8 @@
     taken_log: VecDeque<Micros>,
     extra_log: VecDeque<Micros>,
     watch_at: Option<Micros>,
+    /// List calls that failed since the last one that was answered.
+    unlisted: u32,
     armed: Option<Micros>,
     swept_at: Micros,
 }
@@ -192,7 +198,8 @@
 impl Scheduler {
     /// A host that begins at `now`, with what the deployment states and a seed for its random numbers.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let watch_at = settings.list_on_request.then_some(now);
+        let first = now + (unit_hash(seed.wrapping_mul(GOLDEN)) * watch_spread(&settings) as f64) as Micros;
+        let watch_at = settings.list_on_request.then_some(first);
         Scheduler {
             set: settings,
             begun: now,
@@ -210,6 +217,7 @@
             taken_log: VecDeque::new(),
             extra_log: VecDeque::new(),
             watch_at,
+            unlisted: 0,
             armed: None,
             swept_at: now,
         }
@@ -284,11 +292,18 @@
     fn on_list(&mut self, kind: ListKind, lines: &[Listed], now: Micros) {
         if self.set.list_on_request {
             self.watch_at = match kind {
-                ListKind::Failed => Some(
-                    now + WATCH_AGAIN + (unit_hash(self.seed ^ now as u64) * WATCH_AGAIN as f64) as Micros,
-                ),
+                ListKind::Failed => {
+                    let least =
+                        (WATCH_AGAIN << self.unlisted.min(8)).min(self.set.must_ask_in.max(WATCH_AGAIN));
+                    self.unlisted += 1;
+                    let more = least.max(watch_spread(&self.set)) as f64;
+                    Some(now + least + (unit_hash(self.seed ^ now as u64) * more) as Micros)
+                }
                 ListKind::Saved => self.watch_at,
-                _ => None,
+                _ => {
+                    self.unlisted = 0;
+                    None
+                }
             };
         }
         if kind == ListKind::Failed {
@@ -824,6 +839,11 @@
     }
 }
 
+/// The time over which hosts that do the same spread their list calls.
+fn watch_spread(set: &Settings) -> Micros {
+    (WATCH_SPREAD * Micros::from(set.hosts.saturating_sub(1))).min(set.must_ask_in / 2)
+}
+
 fn prune<T: Copy>(log: &mut VecDeque<T>, old: impl Fn(T) -> bool) {
     while log.front().is_some_and(|at| old(*at)) {
         log.pop_front();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -133,3 +133,50 @@
     }
     assert!(left[0] < left[1], "{left:?}");
 }
+
+/// The times at which a host asks for the list in its first `span`, with each call failing 2 s later.
+fn calls(hosts: u32, seed: u64, span: Micros) -> Vec<Micros> {
+    let mut set = settings();
+    (set.hosts, set.list_on_request) = (hosts, true);
+    let mut scheduler = Scheduler::new(set, seed, 0);
+    let (mut asked, mut fails) = (vec![], None);
+    for now in (0..span).step_by(10 * MS as usize) {
+        let events = if fails.is_some_and(|at| at <= now) {
+            fails = None;
+            vec![Event::List(ListKind::Failed, vec![])]
+        } else {
+            vec![Event::Woke]
+        };
+        let mut actions = Vec::new();
+        scheduler.handle(now, &events, &mut actions);
+        if actions.contains(&Action::Watch) {
+            asked.push(now);
+            fails = Some(now + 2 * S);
+        }
+    }
+    asked
+}
+
+#[test]
+fn hosts_that_start_together_do_not_ask_discovery_together() {
+    let mut first: Vec<Micros> = (0..100).map(|seed| calls(100, seed, 6 * S)[0]).collect();
+    first.sort_unstable();
+    for from in 0..5 {
+        let (from, to) = (from * S, (from + 1) * S);
+        let asked = first.iter().filter(|at| (from..to).contains(*at)).count();
+        assert!((5..40).contains(&asked), "{asked} of 100 hosts ask within a second");
+    }
+    // Alone, or nearly, there is nobody to wait for.
+    assert_eq!(calls(1, 7, S), [0]);
+    assert!((0..20).all(|seed| calls(4, seed, S)[0] <= 150 * MS));
+}
+
+#[test]
+fn hosts_whose_list_calls_fail_ask_less_and_less() {
+    // Calls that all hosts repeat at an even pace may fill discovery for good: none is served in time.
+    let all: Vec<Micros> = (0..100).flat_map(|seed| calls(100, seed, 60 * S)).collect();
+    let within = |from: Micros, to: Micros| all.iter().filter(|at| (from * S..to * S).contains(*at)).count();
+    let (early, late) = (within(0, 15), within(45, 60));
+    assert!(late * 2 < early, "{early} calls at first, {late} later");
+    assert!(late > 50, "they go on: {late}");
+}
