Let quick answers of a cold node count for more than its age

With many hosts each request for a cold node draws a lot by the least capacity that a node of that age can have. Unreserved work had none for half of the cold time, and nothing that the node showed changed that: nodes idled while requests for them were refused. Quick answers that have earned room there now decide, slow ones give the word back to the lots.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -660,6 +660,11 @@
     /// a lot, once: what is due by reservation goes in step with the node's capacity, the rest later.
     fn cold_bears(&self, held: &Held, node: &Node, reserved: bool, now: Micros) -> bool {
         let Some(started) = node.line.started.filter(|_| node.is_cold(&self.set, now)) else { return true };
+        // Quick answers have earned room there, which tells better than its age what it can do now. Slow
+        // ones take that room back.
+        if node.seen.room > 1.0 {
+            return true;
+        }
         let age = ((now - started - self.set.cold_span) as f64 / self.set.cold_for as f64).max(0.0);
         let share = self.set.cold_from + (1.0 - self.set.cold_from) * age;
         let bears =
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -49,6 +49,44 @@
     assert!((60..130).contains(&rest), "{rest} of 200 beyond the reserve");
 }
 
+#[test]
+fn a_cold_node_that_answers_quickly_gets_what_waits_until_its_answers_are_slow() {
+    let mut set = settings();
+    set.hosts = 200;
+    set.plans = vec![plan(10.0, 1.0, 0.0), plan(0.0, 1.0, 0.0)];
+    let mut host = Host::new(set, 1);
+    host.now = 100 * S;
+    host.feed(vec![Event::List(ListKind::Changes, vec![line(0, Standing::Serving, Some(100 * S))])]);
+    // Requests one by one, each answered once it is sent: how many of them leave within a second?
+    let mut through = |plan: usize, volume: u64, count: usize, took: Micros| -> usize {
+        let mut left = 0;
+        for _ in 0..count {
+            let r = Request { plan, volume: VolumeId(volume), ..host.request(Some(0)) };
+            let id = r.id.0;
+            let mut seen = sends(&host.feed(vec![Event::Arrived(r)]));
+            for _ in 0..50 {
+                if seen.is_empty() {
+                    seen = sends(&host.wake(host.now + 2 * MS));
+                }
+            }
+            left += seen.len();
+            let last = if seen.is_empty() {
+                Event::Left(RequestId(id))
+            } else {
+                ended(id, 0, 0, Outcome::Served, took)
+            };
+            host.at(host.now + took, vec![last]);
+        }
+        left
+    };
+    assert_eq!(through(1, 1, 4, MS), 0, "a node nothing is known of: what no reserve covers waits");
+    assert!(through(0, 0, 12, MS) > 0, "reserved work draws lots");
+    assert_eq!(through(1, 1, 4, MS), 4, "its answers are quick");
+    // Against an aim of 500 ms.
+    through(0, 0, 12, 300 * MS);
+    assert_eq!(through(1, 1, 4, MS), 0, "its answers are slow");
+}
+
 #[test]
 fn what_a_client_short_of_time_cannot_wait_for_takes_no_slot() {
     // The node answers in 100 ms, well within the aim of 500 ms.
