Size the lots for cold nodes by what the rule bears, not by a warm node's load

Quick answers free a host up to half of what the node bears for certain, where an even part among many hosts is less than a request. Beyond it reserved work draws lots of three times the certain capacity, as rule four bears, and usual work 1.5 times; usual work had none for half of the cold time. Few hosts keep to their even parts.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,11 +55,13 @@
 /// as long again or that spread by chance; after one without answer for the other.
 const WATCH_AGAIN: Micros = 700_000;
 const WATCH_LOST: Micros = 6_000_000;
-/// Part of due reservations that a cold node gets, for each part of its capacity that is certain: with
-/// reserves of up to half of what nodes can do it is then as busy as a warm one.
-const COLD_DRAW: f64 = 2.0;
-/// Of more hosts than this, one that a cold node answers quickly counts as one of so many.
-const COLD_HOSTS: u32 = 4;
+/// Part of due reservations that a cold node gets, for each part of its capacity that is certain, and of what
+/// volumes ask beyond them within the rate they are sized for. Rule four bears three times its capacity, and
+/// reserves are up to half of what nodes can do; less leaves it idle where less than that is asked for.
+const COLD_DRAW: f64 = 3.0;
+const COLD_DRAW_SHARE: f64 = 1.5;
+/// Of many hosts, one that a cold node answers quickly counts as one of so many.
+const COLD_HOSTS: f64 = 2.0;
 const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
 /// A client's repeat is known by its volume, key and class for this long after its aim.
 const REPEAT_WITHIN: Micros = 1_000_000;
@@ -70,6 +72,14 @@
 /// Held work that waits for a tag, a store or a budget is looked at again after this.
 const LOOK_AGAIN: Micros = 4_000;
 
+/// On what a request leaves: its volume's reserve, its share, or what others leave over.
+#[derive(Clone, Copy, PartialEq)]
+enum Claim {
+    Reserve,
+    Share,
+    Spare,
+}
+
 /// A request taken, until it is closed and its attempts have ended.
 struct Held {
     req: Request,
@@ -525,15 +535,16 @@
             let Some(head) = flow.queue.front() else { continue };
             let plan = &self.set.plans[self.volumes[id].plan];
             let reserved = plan.reservation > 0.0 && head.tags.r <= t;
-            if !self.may_send(head.id, to, reserved, now) {
+            let surges = head.tags.u > t + SURGE;
+            let beyond = if surges { Claim::Spare } else { Claim::Share };
+            if !self.may_send(head.id, to, if reserved { Claim::Reserve } else { beyond }, now) {
                 continue;
             }
             if reserved && node.roomy(1.0, now) && due.is_none_or(|d| head.tags.r < d.0) {
                 due = Some((head.tags.r, head.id));
             }
-            // The burst lets L run ahead; both are split evenly over the volume's hosts.
-            let surges = head.tags.u > t + SURGE;
             let worth = if surges { self.set.spare_worth } else { self.set.share_worth };
+            // The burst lets L run ahead; both are split evenly over the volume's hosts.
             let free = node.roomy(worth, now)
                 && (plan.limit <= 0.0 || head.tags.l <= t + plan.limit_burst / plan.limit);
             if free && fair.is_none_or(|f| head.tags.p < f.0) {
@@ -546,7 +557,8 @@
         }
         // Late requests earn little: they leave only where nothing is out and the cap is not cut.
         let idle = node.out == 0 && node.seen.room >= NODE_CAP as f64;
-        let mut late = place.late.iter().map(|l| l.1).filter(|id| idle && self.may_send(*id, to, false, now));
+        let mut late =
+            place.late.iter().map(|l| l.1).filter(|id| idle && self.may_send(*id, to, Claim::Spare, now));
         late.next().map(|id| (id, false))
     }
 
@@ -616,7 +628,7 @@
 
     // ---- what the rules allow ----
 
-    fn may_send(&self, id: RequestId, to: NodeId, reserved: bool, now: Micros) -> bool {
+    fn may_send(&self, id: RequestId, to: NodeId, claim: Claim, now: Micros) -> bool {
         let Some(held) = self.held.get(&id) else { return false };
         let Some(node) = self.nodes.get(&to) else { return false };
         if !held.open || !node.serves() || held.req.due <= now {
@@ -630,7 +642,7 @@
         }
         let further = held.sent < self.set.max_attempts && held.out.is_empty() && self.within_budget(now);
         (held.sent == 0 || (further && self.may_run_again(held, to, now)))
-            && self.cold_bears(held, node, reserved, now)
+            && self.cold_bears(held, node, claim, now)
     }
 
     fn may_run_again(&self, held: &Held, to: NodeId, now: Micros) -> bool {
@@ -659,17 +671,23 @@
 
     /// Guards a cold node from all hosts together: each keeps to an even part of what the node bears for
     /// certain at its age. With many hosts that is less than one request, so beyond it each request draws
-    /// a lot, once: what is due by reservation goes in step with the node's capacity, the rest later.
-    fn cold_bears(&self, held: &Held, node: &Node, reserved: bool, now: Micros) -> bool {
+    /// a lot, once: reserved and usual work goes in step with the node's capacity, surges and late work last.
+    fn cold_bears(&self, held: &Held, node: &Node, claim: Claim, now: Micros) -> bool {
         let Some(started) = node.line.started.filter(|_| node.is_cold(&self.set, now)) else { return true };
         let age = ((now - started - self.set.cold_span) as f64 / self.set.cold_for as f64).max(0.0);
         let share = self.set.cold_from + (1.0 - self.set.cold_from) * age;
+        let hosts = f64::from(self.set.hosts.max(1));
+        let many = self.set.cold_units < hosts * self.set.mean_units;
         // Quick answers have earned room there, which tells better than its age what it can do now: few
         // hosts are busy there then. Slow ones take that room back.
-        let hosts = self.set.hosts.clamp(1, if node.seen.room > 1.0 { COLD_HOSTS } else { u32::MAX });
-        let bears = self.set.cold_units * share / self.set.cold_from.max(1e-9) / f64::from(hosts);
+        let hosts = if many && node.seen.room > 1.0 { COLD_HOSTS.min(hosts) } else { hosts };
+        let bears = self.set.cold_units * share / self.set.cold_from.max(1e-9) / hosts;
         let sent = node.seen.cold_log.iter().filter(|(at, _)| now - at <= self.set.cold_span);
-        let drawn = COLD_DRAW * share - if reserved { 0.0 } else { COLD_DRAW - 1.0 };
+        let drawn = match claim {
+            Claim::Reserve => COLD_DRAW * share,
+            Claim::Share if many => COLD_DRAW_SHARE * share,
+            Claim::Share | Claim::Spare => 2.0 * share - 1.0,
+        };
         bears - sent.map(|(_, units)| units).sum::<f64>() >= held.req.units
             || unit_hash(self.seed ^ held.req.id.0.wrapping_mul(GOLDEN)) < drawn
     }
