--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -47,6 +47,9 @@
 struct Party {
     speaks: Speaks,
     inbox: Receiver<Said>,
+    /// What a node was told on one connection before the end of another was seen: threads that read two
+    /// connections hand over in any order.
+    aside: VecDeque<Said>,
     conns: Arc<Mutex<Vec<TcpStream>>>,
     /// Commands that the party owes an answer: connection and id.
     owes: VecDeque<(usize, u32)>,
@@ -67,14 +70,32 @@
                 listen_to(stream, speaks, &kept, tell.clone());
             }
         });
-        Party { speaks, inbox, conns, owes: VecDeque::new(), next_id: 1, address, shard }
+        Party {
+            speaks,
+            inbox,
+            aside: VecDeque::new(),
+            conns,
+            owes: VecDeque::new(),
+            next_id: 1,
+            address,
+            shard,
+        }
     }
 
     fn client(speaks: Speaks, to: SocketAddr) -> Party {
         let (tell, inbox) = channel();
         let conns = Arc::new(Mutex::new(Vec::new()));
         listen_to(TcpStream::connect(to).expect("the gateway listens"), speaks, &conns, tell);
-        Party { speaks, inbox, conns, owes: VecDeque::from([(0, 0)]), next_id: 1, address: None, shard: 0 }
+        Party {
+            speaks,
+            inbox,
+            aside: VecDeque::new(),
+            conns,
+            owes: VecDeque::from([(0, 0)]),
+            next_id: 1,
+            address: None,
+            shard: 0,
+        }
     }
 }
 
@@ -358,7 +379,11 @@
         let client = self.parties.get(name).is_none_or(|p| p.address.is_none());
         let party = self.party(name);
         loop {
-            let said = party.inbox.recv_timeout(PATIENCE).map_err(|_| "nothing came")?;
+            let kept = if end { None } else { party.aside.pop_front() };
+            let said = match kept {
+                Some(said) => said,
+                None => party.inbox.recv_timeout(PATIENCE).map_err(|_| "nothing came")?,
+            };
             match said.text {
                 None if end => {
                     party.owes.retain(|(conn, _)| *conn != said.conn);
@@ -371,7 +396,8 @@
                     }
                     return Ok(settled(&text));
                 }
-                Some(text) => return Err(format!("came: {text}")),
+                Some(text) if client => return Err(format!("came: {text}")),
+                Some(_) => party.aside.push_back(said),
                 None if client => return Err("closed".into()),
                 None => {}
             }
@@ -543,8 +569,16 @@
             }
         });
         let (conns, owes) = (Arc::default(), VecDeque::new());
-        let console =
-            Party { speaks: Speaks::Lines, inbox, conns, owes, next_id: 0, address: None, shard: 0 };
+        let console = Party {
+            speaks: Speaks::Lines,
+            inbox,
+            aside: VecDeque::new(),
+            conns,
+            owes,
+            next_id: 0,
+            address: None,
+            shard: 0,
+        };
         self.parties.insert("console".into(), console);
         let stdin = child.stdin.take().expect("piped");
         self.gateway = Some((child, stdin));
