Read discovery's list in every form: indented, of a stated length, of none

Ruled out: a fault of the JSON reader, which reads the same objects whole. At fault: WatchParser::lines (an object ended at '\n') and the head (no chunks, no list). Objects now end with their braces, with bounds on length and depth; one that has begun must become whole within the time that silence is borne, so that a cut object can't swallow what follows.

Failing without the change: a_list_in_every_form, an_endless_object_is_an_error.

The log tells what the first list of a watch brought and how long it took.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -6,8 +6,10 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// Longest line of the list that is held.
-const LINE_MOST: usize = 1 << 20;
+/// Longest object of the list that is held.
+const OBJECT_MOST: usize = 1 << 20;
+/// Objects and arrays in each other; the list's own are three.
+const DEPTH_MOST: usize = 16;
 /// Longest head of an answer.
 const HEAD_MOST: usize = 16 << 10;
 
@@ -51,9 +53,9 @@
 pub enum WatchError {
     #[error("discovery answered '{0}'")]
     Status(String),
-    #[error("discovery sent what is not HTTP/1.1 chunks")]
+    #[error("discovery sent what is not HTTP/1.1")]
     Framing,
-    #[error("discovery sent a line that is too long")]
+    #[error("discovery sent an object that is too long")]
     TooLong,
     #[error("discovery's list: {0}")]
     List(String),
@@ -99,6 +101,47 @@
     )
 }
 
+/// Splits a stream into its JSON objects. White space may stand between them or indent them: only the
+/// braces tell where one ends.
+#[derive(Debug, Default)]
+struct Objects {
+    text: Vec<u8>,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    fn feed(&mut self, data: &[u8], out: &mut Vec<Update>) -> Result<(), WatchError> {
+        for byte in data {
+            if self.depth == 0 && byte.is_ascii_whitespace() {
+                continue;
+            }
+            if self.depth == 0 && *byte != b'{' {
+                return Err(WatchError::List("what comes is no object".into()));
+            }
+            self.text.push(*byte);
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = self.quoted,
+                b'"' => self.quoted = !self.quoted,
+                b'{' | b'[' if !self.quoted => self.depth += 1,
+                b'}' | b']' if !self.quoted => self.depth -= 1,
+                _ => {}
+            }
+            if self.depth > DEPTH_MOST || self.text.len() > OBJECT_MOST {
+                return Err(WatchError::TooLong);
+            }
+            if self.depth == 0 {
+                let mut text = std::mem::take(&mut self.text);
+                let update = simd_json::serde::from_slice(&mut text);
+                out.push(update.map_err(|e| WatchError::List(e.to_string()))?);
+            }
+        }
+        Ok(())
+    }
+}
+
 #[derive(Debug, Default, PartialEq, Eq)]
 enum Part {
     #[default]
@@ -107,6 +150,10 @@
     Data(usize),
     /// The line end after a chunk's data.
     DataEnd,
+    /// What is left of a body of stated length.
+    Length(usize),
+    /// A body that lasts as long as its connection.
+    Rest,
     Over,
 }
 
@@ -115,7 +162,7 @@
 pub struct WatchParser {
     input: Vec<u8>,
     part: Part,
-    line: Vec<u8>,
+    objects: Objects,
 }
 
 impl WatchParser {
@@ -133,6 +180,11 @@
         self.part == Part::Over
     }
 
+    /// Whether an object has begun and is not whole.
+    pub fn midway(&self) -> bool {
+        self.objects.depth > 0
+    }
+
     fn take(&mut self, at: &mut usize, out: &mut Vec<Update>) -> Result<(), WatchError> {
         loop {
             let rest = &self.input[*at..];
@@ -143,17 +195,8 @@
                         return if rest.len() > HEAD_MOST { Err(WatchError::Framing) } else { Ok(()) };
                     };
                     let head = String::from_utf8_lossy(&rest[..end]).to_ascii_lowercase();
-                    let status = head.lines().next().unwrap_or_default();
-                    if status.split(' ').nth(1) != Some("200") {
-                        return Err(WatchError::Status(status.to_owned()));
-                    }
-                    let chunked =
-                        |l: &str| l.starts_with("transfer-encoding:") && l.trim_end().ends_with("chunked");
-                    if !head.lines().any(chunked) {
-                        return Err(WatchError::Framing);
-                    }
                     *at += end + 4;
-                    self.part = Part::Size;
+                    self.part = body(&head)?;
                 }
                 Part::Size => {
                     let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
@@ -165,15 +208,23 @@
                     *at += end + 2;
                     self.part = if size == 0 { Part::Over } else { Part::Data(size) };
                 }
-                Part::Data(left) => {
+                Part::Data(left) | Part::Length(left) => {
                     if rest.is_empty() {
                         return Ok(());
                     }
                     let n = left.min(rest.len());
-                    let data = rest[..n].to_vec();
+                    self.objects.feed(&rest[..n], out)?;
                     *at += n;
-                    self.part = if n == left { Part::DataEnd } else { Part::Data(left - n) };
-                    self.lines(&data, out)?;
+                    self.part = match (&self.part, left - n) {
+                        (Part::Data(_), 0) => Part::DataEnd,
+                        (Part::Data(_), left) => Part::Data(left),
+                        (_, 0) => Part::Over,
+                        (_, left) => Part::Length(left),
+                    };
+                }
+                Part::Rest => {
+                    *at += rest.len();
+                    return self.objects.feed(rest, out);
                 }
                 Part::DataEnd => {
                     if rest.len() < 2 {
@@ -188,22 +239,32 @@
             }
         }
     }
+}
 
-    fn lines(&mut self, data: &[u8], out: &mut Vec<Update>) -> Result<(), WatchError> {
-        for byte in data {
-            if *byte != b'\n' {
-                self.line.push(*byte);
-                if self.line.len() > LINE_MOST {
-                    return Err(WatchError::TooLong);
-                }
-                continue;
-            }
-            let mut line = std::mem::take(&mut self.line);
-            if !line.iter().all(u8::is_ascii_whitespace) {
-                let update = simd_json::serde::from_slice(&mut line);
-                out.push(update.map_err(|e| WatchError::List(e.to_string()))?);
+/// How the body after a head, in lower case, is framed.
+fn body(head: &str) -> Result<Part, WatchError> {
+    let mut lines = head.lines();
+    let status = lines.next().unwrap_or_default();
+    let code = status.split(' ').nth(1).unwrap_or_default();
+    // Another answer follows one that only informs.
+    if code.len() == 3 && code.starts_with('1') && code != "101" {
+        return Ok(Part::Head);
+    }
+    if code != "200" {
+        return Err(WatchError::Status(status.to_owned()));
+    }
+    let mut part = Part::Rest;
+    for (name, value) in lines.filter_map(|l| l.split_once(':')) {
+        match (name.trim(), value.trim()) {
+            // A length beside it does not count.
+            ("transfer-encoding", coding) if coding.ends_with("chunked") => return Ok(Part::Size),
+            ("transfer-encoding", _) => return Err(WatchError::Framing),
+            ("content-length", length) => {
+                let length = length.parse().map_err(|_| WatchError::Framing)?;
+                part = if length == 0 { Part::Over } else { Part::Length(length) };
             }
+            _ => {}
         }
-        Ok(())
     }
+    Ok(part)
 }
--- a/gateway/src/net/watch.rs
+++ b/gateway/src/net/watch.rs
@@ -20,6 +20,9 @@
     socket: Socket,
     parser: WatchParser,
     asked: bool,
+    begun_at: Micros,
+    /// It has told something.
+    told: bool,
 }
 
 impl Gateway {
@@ -32,8 +35,9 @@
         let connected = Socket::connect(address).and_then(|mut socket| {
             let token = self.conns.reserve();
             let watched = socket.watch(&self.epoll, token, true, true);
-            self.conns
-                .put(token, Conn::Watch(Watch { socket, parser: WatchParser::default(), asked: false }));
+            let parser = WatchParser::default();
+            let watch = Watch { socket, parser, asked: false, begun_at: now, told: false };
+            self.conns.put(token, Conn::Watch(watch));
             self.watch = Some(token);
             watched
         });
@@ -69,8 +73,13 @@
         let over = watch.socket.fill(READ_MOST).map_err(text)?;
         let bytes = std::mem::take(&mut watch.socket.input);
         let mut updates = Vec::new();
+        let midway = watch.parser.midway();
         let parsed = watch.parser.feed(&bytes, &mut updates);
         for update in &updates {
+            if !std::mem::replace(&mut watch.told, true) {
+                let (nodes, ms) = (update.endpoints.len(), (now - watch.begun_at) / 1000);
+                log::info!("discovery: told of {nodes} nodes {ms} ms after the call");
+            }
             self.index = update.index;
             self.take_update(update, update.kind(), now);
         }
@@ -78,7 +87,8 @@
         if over || watch.parser.over() {
             return Err("the watch ended".into());
         }
-        if !bytes.is_empty() {
+        // What has begun must become whole: the rest of it is no sign of life.
+        if !bytes.is_empty() && !(midway && updates.is_empty()) {
             self.deadlines.shift(&mut self.watch_due, Some(now + SILENCE), Due::Watch);
         }
         watch.socket.watch(&self.epoll, token, true, false).map_err(text)
