Take in what came ahead of a reset

A reset that followed more than one chunk of bytes dropped what was read before it: Socket::fill returned the error and its callers gave the input up. A list or an answer that discovery or a node had written was lost that way.

--- a/gateway/src/net/socket.rs
+++ b/gateway/src/net/socket.rs
@@ -81,9 +81,11 @@
         Ok(())
     }
 
-    /// Reads what has come, up to `most` bytes held; true at the end of the stream.
+    /// Reads what has come, up to `most` bytes held; true at the end of the stream. What came before a reset
+    /// counts: the reset is an error only where nothing came ahead of it.
     pub fn fill(&mut self, most: usize) -> io::Result<bool> {
         let mut chunk = [0; CHUNK];
+        let had = self.input.len();
         while self.input.len() < most {
             let room = CHUNK.min(most - self.input.len());
             match self.stream.read(&mut chunk[..room]) {
@@ -96,6 +98,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) if self.input.len() > had => return Ok(true),
                 Err(e) => return Err(e),
             }
         }
