Hear of a client's close behind more bytes than are read

Seen: of a client that sent 100 KiB of commands and closed, the commands went on to nodes one after another, long after it had gone. Socket::watch dropped RDHUP with IN, and a connection whose input is full is not read, so its end stood unseen behind the rest. Ruled out: a late turn of the loop, other clients are heard of meanwhile. The end is now always asked for, and ends the connection whatever is still unread.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -273,7 +273,10 @@
         self.unshelved(&mut client);
         let over = if let Some(left) = &mut client.leaving {
             client.socket.discard(left)
-        } else if flags.intersects(EventFlags::IN | EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+        } else if flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR) {
+            // Its end may stand behind more than is read here, and what it asked is not to wait for that.
+            Ok(true)
+        } else if flags.contains(EventFlags::IN) {
             client.socket.fill(INPUT_MOST)
         } else {
             Ok(false)
--- a/gateway/src/net/socket.rs
+++ b/gateway/src/net/socket.rs
@@ -60,24 +60,17 @@
         }
     }
 
-    /// Tells epoll what this socket waits for, where that has changed.
+    /// Tells epoll what this socket waits for, where that has changed; the other side's end is always told.
     pub fn watch(&mut self, epoll: &OwnedFd, token: u64, read: bool, write: bool) -> io::Result<()> {
         let mut wanted = EventFlags::RDHUP;
         wanted.set(EventFlags::IN, read);
         wanted.set(EventFlags::OUT, write || self.unsent() > 0);
-        if !read {
-            wanted.remove(EventFlags::RDHUP);
-        }
         if self.interest.is_empty() {
             epoll::add(epoll, self.stream.as_fd(), EventData::new_u64(token), wanted)?;
         } else if wanted != self.interest {
             epoll::modify(epoll, self.stream.as_fd(), EventData::new_u64(token), wanted)?;
         }
         self.interest = wanted;
-        // An empty set would be taken for one not yet added.
-        if self.interest.is_empty() {
-            self.interest = EventFlags::ERR;
-        }
         Ok(())
     }
 
