Close no connection for another that does not come

Seen: with as many clients as may be, the longest idle one was closed though nobody waited: accept() made room before it knew of a second connection (its loop, from the second round on). Ruled out: the idle time, it was closed within milliseconds. Failing without the change: idle_close_for_room_and_a_request.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -135,7 +135,11 @@
 
 impl Gateway {
     pub(super) fn accept(&mut self, listener: &TcpListener, speaks: Speaks, now: Micros) {
-        for _ in 0..ACCEPTED_MOST {
+        for accepted in 0..ACCEPTED_MOST {
+            // Only of the first is it known that it waits: nobody is closed for one that does not come.
+            if self.clients >= self.clients_most && accepted > 0 {
+                return;
+            }
             while self.clients >= self.clients_most {
                 if !self.evict(now) {
                     return self.rest_accepting(now);
