Begin nothing for a client that has left

Seen: where attempts can't be cancelled, an attempt that waited for its connection was written once that came up, up to its time-out after the client had gone; and each attempt dropped before it was written counted as a miss of its node, three of which shut it. At fault: Core::left left the rest to the scheduler's Cancel, and give_up told every unwritten attempt as NoConnection. Ruled out: the scheduler, which closes the request at once. What has not begun is now given up with the request, as not sent, and an attempt whose client left within the turn is not started.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -375,14 +375,24 @@
         self.tallies.retain(|_, t| t.taken > least);
     }
 
-    /// The client has gone away.
-    pub fn left(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id).filter(|r| r.open) {
-            request.open = false;
-            self.events.push(hf::Event::Left(id));
+    /// The client has gone away. What has not begun at a node by now does not begin any more, also where
+    /// attempts can't be cancelled.
+    pub fn left(&mut self, id: RequestId, now: Micros, deadlines: &mut Deadlines) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.open) else { return };
+        request.open = false;
+        self.events.push(hf::Event::Left(id));
+        let unsent = request.out.iter().filter(|o| !o.may_have_run).map(|o| o.number);
+        for number in unsent.collect::<Vec<_>>() {
+            self.give_up(AttemptId { request: id, number }, hf::Outcome::Cancelled, now, deadlines);
         }
     }
 
+    /// Whether an attempt's end is still waited for.
+    pub fn awaits(&self, attempt: AttemptId) -> bool {
+        let out = self.requests.get(&attempt.request).map(|r| &r.out);
+        out.is_some_and(|out| out.iter().any(|o| o.number == attempt.number))
+    }
+
     // ---- attempts ----
 
     /// A byte that may take effect has been written for this attempt.
@@ -427,11 +437,15 @@
     }
 
     /// An attempt is given up or lost its connection: it ends as one that never ran if no byte that may
-    /// take effect has left.
+    /// take effect has left. One that was given up for its client's sake tells nothing of its node then.
     pub fn give_up(&mut self, attempt: AttemptId, how: hf::Outcome, now: Micros, deadlines: &mut Deadlines) {
         let out = self.requests.get(&attempt.request).map(|r| &r.out);
         let Some(out) = out.and_then(|o| o.iter().find(|o| o.number == attempt.number)) else { return };
-        let outcome = if out.may_have_run { how } else { hf::Outcome::NoConnection };
+        let outcome = match how {
+            _ if out.may_have_run => how,
+            hf::Outcome::Cancelled => hf::Outcome::NotSent,
+            _ => hf::Outcome::NoConnection,
+        };
         self.effects.push(Effect::Abandon(attempt));
         self.ended(attempt, End::of(outcome), now, deadlines);
     }
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -248,7 +248,7 @@
         self.unshelved(&mut client);
         let words = client.front.late();
         if client.begun_at.is_none() || words.is_empty() || client.hanging {
-            return self.drop_client(token, client);
+            return self.drop_client(token, client, now);
         }
         client.hang(words);
         self.client_go(token, client, now);
@@ -288,7 +288,7 @@
         match over {
             Ok(false) => self.client_go(token, client, now),
             // The client has gone away, whatever it still had to ask.
-            Ok(true) | Err(_) => self.drop_client(token, client),
+            Ok(true) | Err(_) => self.drop_client(token, client, now),
         }
     }
 
@@ -354,11 +354,11 @@
         // the process is.
         let glut = self.owed > 2 * self.config.bounds.owed && client.socket.unsent() > UNSENT_MOST;
         if result.is_err() || glut {
-            return self.drop_client(token, client);
+            return self.drop_client(token, client, now);
         }
         if done && client.settled() {
             if !client.hanging || client.socket.end_sending().is_err() {
-                return self.drop_client(token, client);
+                return self.drop_client(token, client, now);
             }
             if client.leaving.is_none() {
                 client.leaving = Some(LEAVE_MOST);
@@ -367,7 +367,7 @@
         }
         let read = !full && !client.hanging || client.leaving.is_some();
         if client.socket.watch(&self.epoll, token, read, false).is_err() {
-            return self.drop_client(token, client);
+            return self.drop_client(token, client, now);
         }
         self.shelve(token, client);
     }
@@ -379,7 +379,7 @@
         client.front.answer(ticket.slot, answer, &mut answers);
         // Of a listing that has failed, the other parts need not go on.
         for id in client.settle(answers) {
-            self.core.left(id);
+            self.core.left(id, now, &mut self.deadlines);
         }
         client.used_at = now;
         self.client_go(ticket.conn, client, now);
@@ -392,12 +392,12 @@
             // A command that has come meanwhile is not to be cut off.
             match client.socket.fill(INPUT_MOST) {
                 Ok(false) if client.socket.input.len() > had => self.client_go(token, client, now),
-                _ => self.drop_client(token, client),
+                _ => self.drop_client(token, client, now),
             }
         }
     }
 
-    fn drop_client(&mut self, token: u64, mut client: Client) {
+    fn drop_client(&mut self, token: u64, mut client: Client, now: Micros) {
         self.conns.free(token);
         self.deadlines.shift(&mut client.due, None, Due::Conn(token));
         self.clients -= 1;
@@ -405,7 +405,7 @@
         self.owed -= client.owed;
         self.begun -= client.begun;
         for id in client.asked.into_values().flatten() {
-            self.core.left(id);
+            self.core.left(id, now, &mut self.deadlines);
         }
     }
 
--- a/gateway/src/net/links.rs
+++ b/gateway/src/net/links.rs
@@ -121,6 +121,10 @@
         job: Arc<Job>,
         now: Micros,
     ) {
+        // Its client has left in this very turn.
+        if !self.core.awaits(attempt) {
+            return;
+        }
         let repeatable = job.op != Op::Write;
         let carried = Carried { attempt, job, until, runs_after: None, told: false, started_at: now };
         let token = match self.free_link(node, repeatable, now).map_or_else(|| self.open_link(node, now), Ok)
--- a/gateway/tests/core.rs
+++ b/gateway/tests/core.rs
@@ -351,7 +351,7 @@
                     writes.insert(id);
                 }
                 if roll(12) == 0 {
-                    world.core.left(id);
+                    world.core.left(id, world.now, &mut world.deadlines);
                     left.insert(slot);
                 }
             }
