Forget a node that is gone with its last answer

Seen: a connection to a node that was removed stayed open for its idle time when the last answer came after the removal: Core kept the node until the next list, so link_go took the connection for one to keep. Failing without the change: late_answer_and_drain.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -415,6 +415,11 @@
             if end.outcome == hf::Outcome::Served {
                 node.units += request.job.units;
             }
+            // It was kept for the attempts that were out there.
+            if node.out == 0 && node.standing == hf::Standing::Gone {
+                self.names.remove(&node.name);
+                self.nodes.remove(&out.node);
+            }
         }
         if let (hf::Outcome::Served, Some(found)) = (end.outcome, end.found) {
             if request.open {
