--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -70,6 +70,8 @@
     /// Commands, but no request.
     Calls,
     Requests,
+    /// Part of a command.
+    Midway,
 }
 
 /// A connection that may be closed: what it has brought, when it was used, its token.
@@ -205,7 +207,8 @@
             self.deadlines.shift(&mut client.due, limit, Due::Conn(token));
         }
         if client.settled() && !client.front.midway() {
-            let idle = (client.rank, client.used_at, token);
+            let rank = if client.socket.input.is_empty() { client.rank } else { Rank::Midway };
+            let idle = (rank, client.used_at, token);
             client.idle = Some(idle);
             self.idle.insert(idle);
         }
@@ -228,7 +231,7 @@
             return false;
         };
         log::debug!("closing an idle client connection to make room");
-        self.close_client(token, now);
+        self.make_way(token, now);
         true
     }
 
@@ -236,8 +239,8 @@
     /// request: the longest idle of these are closed in time for others to connect.
     pub(super) fn spare_requesters(&mut self, now: Micros) {
         while self.requesters > self.requesters_most {
-            let idle = self.idle.range((Rank::Requests, Micros::MIN, 0)..).next();
-            let Some((.., token)) = idle.copied() else { return };
+            let resting = (Rank::Requests, Micros::MIN, 0)..(Rank::Midway, Micros::MIN, 0);
+            let Some((.., token)) = self.idle.range(resting).next().copied() else { return };
             self.close_client(token, now);
         }
     }
@@ -247,9 +250,12 @@
         client.due = None;
         self.unshelved(&mut client);
         let words = client.front.late();
-        if client.begun_at.is_none() || words.is_empty() || client.hanging {
+        if client.hanging || !client.settled() {
             return self.drop_client(token, client, now);
         }
+        if client.begun_at.is_none() || words.is_empty() {
+            return self.rest_over(token, client, now);
+        }
         client.hang(words);
         self.client_go(token, client, now);
     }
@@ -357,21 +363,43 @@
             return self.drop_client(token, client, now);
         }
         if done && client.settled() {
-            if !client.hanging || client.socket.end_sending().is_err() {
+            return self.part_from(token, client, now);
+        }
+        let read = !full && !client.hanging;
+        if client.socket.watch(&self.epoll, token, read, false).is_err() {
+            return self.drop_client(token, client, now);
+        }
+        self.shelve(token, client);
+    }
+
+    /// Ends a connection that is owed nothing. Closing it over bytes that have just come would reset it, and
+    /// the last answer might go with them: the client is told of the end first, and what still comes from
+    /// it is read and dropped until it has closed too. Nothing of that is sent on: it asks again elsewhere.
+    fn part_from(&mut self, token: u64, mut client: Client, now: Micros) {
+        if client.leaving.is_none() {
+            if client.socket.end_sending().is_err() {
                 return self.drop_client(token, client, now);
             }
-            if client.leaving.is_none() {
-                client.leaving = Some(LEAVE_MOST);
-                client.used_at = now;
-            }
+            client.hanging = true;
+            client.leaving = Some(LEAVE_MOST);
+            client.used_at = now;
+            self.no_requester(&mut client);
         }
-        let read = !full && !client.hanging || client.leaving.is_some();
-        if client.socket.watch(&self.epoll, token, read, false).is_err() {
+        client.socket.consume(client.socket.input.len());
+        if client.socket.watch(&self.epoll, token, true, false).is_err() {
             return self.drop_client(token, client, now);
         }
         self.shelve(token, client);
     }
 
+    /// Counts a connection among those that have brought a request no more.
+    fn no_requester(&mut self, client: &mut Client) {
+        if client.rank == Rank::Requests {
+            client.rank = Rank::Calls;
+            self.requesters -= 1;
+        }
+    }
+
     pub(super) fn answer(&mut self, ticket: Ticket, answer: Answer, now: Micros) {
         let Some(Conn::Client(mut client)) = self.conns.take(ticket.conn) else { return };
         self.unshelved(&mut client);
@@ -385,15 +413,33 @@
         self.client_go(ticket.conn, client, now);
     }
 
+    /// Closes a connection whose descriptor is wanted at once, unless a command has come meanwhile.
+    fn make_way(&mut self, token: u64, now: Micros) {
+        let Some(Conn::Client(mut client)) = self.conns.take(token) else { return };
+        self.unshelved(&mut client);
+        let had = client.socket.input.len();
+        match client.socket.fill(INPUT_MOST) {
+            Ok(false) if client.socket.input.len() > had && client.leaving.is_none() => {
+                self.client_go(token, client, now)
+            }
+            _ => self.drop_client(token, client, now),
+        }
+    }
+
     fn close_client(&mut self, token: u64, now: Micros) {
         if let Some(Conn::Client(mut client)) = self.conns.take(token) {
             self.unshelved(&mut client);
-            let had = client.socket.input.len();
-            // A command that has come meanwhile is not to be cut off.
-            match client.socket.fill(INPUT_MOST) {
-                Ok(false) if client.socket.input.len() > had => self.client_go(token, client, now),
-                _ => self.drop_client(token, client, now),
-            }
+            self.rest_over(token, client, now);
+        }
+    }
+
+    /// Ends a connection that has rested, unless a command has come meanwhile.
+    fn rest_over(&mut self, token: u64, mut client: Client, now: Micros) {
+        let had = client.socket.input.len();
+        match client.socket.fill(INPUT_MOST) {
+            Ok(false) if client.socket.input.len() > had => self.client_go(token, client, now),
+            Ok(false) => self.part_from(token, client, now),
+            _ => self.drop_client(token, client, now),
         }
     }
 
@@ -401,7 +447,7 @@
         self.conns.free(token);
         self.deadlines.shift(&mut client.due, None, Due::Conn(token));
         self.clients -= 1;
-        self.requesters -= usize::from(client.rank == Rank::Requests);
+        self.no_requester(&mut client);
         self.owed -= client.owed;
         self.begun -= client.begun;
         for id in client.asked.into_values().flatten() {
--- a/gateway/src/net/watch.rs
+++ b/gateway/src/net/watch.rs
@@ -88,7 +88,7 @@
             return Err("the watch ended".into());
         }
         // What has begun must become whole: the rest of it is no sign of life.
-        if !bytes.is_empty() && !(midway && updates.is_empty()) {
+        if !bytes.is_empty() && (!midway || !updates.is_empty()) {
             self.deadlines.shift(&mut self.watch_due, Some(now + SILENCE), Due::Watch);
         }
         watch.socket.watch(&self.epoll, token, true, false).map_err(text)
