Watch the agent's list where lists are pushed

Seen: with "discovery": "automatic" the program never opened a watch, so it was never told of any change after its start. Ruled out: discovery's address, which was read. Failing without the change: watch_end_where_lists_are_pushed.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -277,7 +277,8 @@
     env: impl Fn(&str) -> Option<String>,
     first: Precedence,
 ) -> Result<Config, ConfigError> {
-    let told: Router = decode(text, "ROUTER_CONFIG")?;
+    let mut told: Router = decode(text, "ROUTER_CONFIG")?;
+    told.settings.has_agent = true;
     check(&told.settings, &told.limits, false)?;
     let pick = |key: &str, other: Option<String>| {
         let found = match first {
@@ -306,7 +307,8 @@
 /// An operator's file. Paths in it count from the file's own folder.
 pub fn from_file(path: &Path) -> Result<Config, ConfigError> {
     let mut text = read(path)?;
-    let told: Operator = decode(&mut text, &path.display().to_string())?;
+    let mut told: Operator = decode(&mut text, &path.display().to_string())?;
+    told.settings.has_agent = told.discovery.is_some();
     check(&told.settings, &told.limits, told.sftp.is_some())?;
     if told.inventory.is_none() && told.discovery.is_none() {
         return Err(ConfigError::Missing { key: "inventory".into() });
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -630,3 +630,14 @@
     let (client, node) = s.asked("a1");
     s.new_object_avoids_b(client, node);
 }
+
+/// Where lists are pushed, their agent is asked for them all the same, from the first moment and at its return.
+#[test]
+fn watch_end_where_lists_are_pushed() {
+    let mut s = stage_with("watch_pushed", |c| c.replace("subscribe", "automatic"));
+    s.watch.reset();
+    s.watch = s.discovery.watched(3, &[s.a.entry("in_service"), s.b.entry("terminating")]);
+    s.gateway.says("discovery: told of 2 nodes");
+    let (client, node) = s.asked("a1");
+    s.new_object_avoids_b(client, node);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -20,6 +20,9 @@
     pub allowed: Allowed,
     pub classes: Vec<ClassInfo>,
     pub discovery: String,
+    /// Lists are pushed to an agent, and the program asks that one; not a setting, but where it runs tells.
+    #[serde(skip)]
+    pub has_agent: bool,
     pub domain: Domain,
     pub group_size: u32,
     pub plans: Vec<PlanInfo>,
@@ -158,7 +161,10 @@
             second_copies: self.allowed.second_copies,
             may_cancel: self.allowed.may_cancel,
             probes: self.allowed.probes,
-            list_askers: if self.discovery == "subscribe" { self.group_size.max(1) } else { 0 },
+            list_askers: match self.discovery.as_str() {
+                "subscribe" => self.group_size.max(1),
+                _ => u32::from(self.has_agent),
+            },
             must_ask_in: micros(rules.must_ask_in_ms),
             drain_grace: micros(rules.stop_sending_within_ms),
             cold_from: rules.cold_from,
