--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -45,8 +45,7 @@
     /// While the first node is busy with a read, a new object would go to the second; where that one drains,
     /// it waits for the first. Ends the read and the write.
     fn new_object_avoids_b(&mut self, mut client: Conn, mut node: Conn) {
-        let mut writer = self.gateway.client();
-        writer.say(write("w1"));
+        let mut writer = self.gateway.asked(write("w1"));
         self.gateway.has_seen();
         node.say(served("read"));
         assert_eq!(client.value(), "read");
@@ -74,8 +73,7 @@
     let mut s = stage("term_accept");
     let (mut first, mut node) = s.asked("a1");
     s.gateway.retires();
-    let mut second = s.gateway.client();
-    second.say(read("a2"));
+    let mut second = s.gateway.asked(read("a2"));
     s.gateway.has_seen();
     node.say(served("one"));
     assert_eq!((first.value(), first.end()), ("one".into(), End::Closed));
@@ -150,8 +148,7 @@
     s.gateway.told_to_end();
     assert_eq!(resting.end(), End::Closed);
     resting.say_late(read("a2"));
-    let mut third = s.gateway.client();
-    third.say(read("a3"));
+    let mut third = s.gateway.asked(read("a3"));
     s.gateway.has_seen();
     node.say(served("one"));
     assert_eq!(first.value(), "one");
@@ -300,8 +297,7 @@
     let _watch = moved.watched(1, &[s.a.entry("in_service"), s.b.entry("in_service")]);
     s.gateway.says("discovery: told of 2 nodes");
     s.watch.say_late(rest);
-    let mut writer = s.gateway.client();
-    writer.say(write("w1"));
+    let mut writer = s.gateway.asked(write("w1"));
     let mut other = s.b.accept();
     assert!(other.value().contains("w1"), "the second node serves on");
     other.say(served("written"));
--- a/gateway/tests/peers/mod.rs
+++ b/gateway/tests/peers/mod.rs
@@ -341,11 +341,18 @@
         Conn::to(self.address)
     }
 
+    /// A client whose connection and first words come at once: one that retires waits for neither for long.
+    pub fn asked(&self, words: impl AsRef<[u8]>) -> Conn {
+        self.hold();
+        let mut client = self.client();
+        client.say(words);
+        self.let_go();
+        client
+    }
+
     /// Returns when the gateway has seen all that was there on its sockets before.
     pub fn has_seen(&self) {
-        let mut client = self.client();
-        client.say(command("PING"));
-        client.value();
+        self.asked(command("PING")).value();
     }
 
     fn signal(&self, signal: Signal) {
