--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -198,6 +198,29 @@
     s.gateway.ends();
 }
 
+/// A further attempt tells its node no more time than is left to the client.
+#[test]
+fn sigterm_and_node_reset_tell_the_time_that_is_left() {
+    let told = |words: &str| -> u128 {
+        let (_, rest) = words.split_once(",d=").expect("a time");
+        rest.split(',').next().and_then(|d| d.parse().ok()).expect("milliseconds")
+    };
+    let mut s = stage("term_left");
+    let mut client = s.gateway.client();
+    client.say(read_within("a1", 2_500));
+    let asked = std::time::Instant::now();
+    let mut node = s.a.accept();
+    assert!((1_500..=2_500).contains(&told(&node.value())));
+    s.gateway.retires();
+    let passed = asked.elapsed().as_millis();
+    node.reset();
+    let mut node = s.a.accept();
+    assert!(told(&node.value()) + passed <= 2_500);
+    node.say(served("one"));
+    assert_eq!(client.value(), "one");
+    s.gateway.ends();
+}
+
 #[test]
 fn sigterm_and_drain() {
     let mut s = stage("term_drain");
@@ -551,6 +574,49 @@
     assert!(s.a.untouched());
 }
 
+#[test]
+fn half_read_request_and_drain() {
+    let mut s = stage("half_drain");
+    let (mut client, mut node) = s.asked("a1");
+    let mut writer = s.gateway.client();
+    let words = write("w1");
+    let (begin, rest) = words.split_at(words.len() / 2);
+    writer.say(begin);
+    s.gateway.has_seen();
+    s.drain_b();
+    writer.say(rest);
+    s.gateway.has_seen();
+    node.say(served("one"));
+    assert_eq!(client.value(), "one");
+    assert!(node.value().contains("w1"), "what is whole after the drain goes to the node that serves");
+    node.say(served("written"));
+    assert_eq!(writer.value(), "written");
+    assert!(s.b.untouched());
+}
+
+/// A client leaves while its request waits for the successor of a node that drains.
+#[test]
+fn client_close_and_drain() {
+    let mut s = stage("close_drain");
+    let (mut client, mut node) = s.asked("a1");
+    let waiting = s.gateway.asked(read("a2"));
+    s.gateway.has_seen();
+    s.watch.say(chunk(&update(3, false, &[s.a.entry("terminating")])));
+    s.gateway.has_seen();
+    waiting.close();
+    s.gateway.has_seen();
+    let successor = Node::new("c", 0);
+    s.watch.say(chunk(&update(4, false, &[successor.entry("in_service")])));
+    s.gateway.has_seen();
+    let mut last = s.gateway.asked(read("a3"));
+    let mut next = successor.accept();
+    assert!(next.value().contains("a3"), "who has gone is not served");
+    next.say(served("three"));
+    assert_eq!(last.value(), "three");
+    node.say(served("one"));
+    assert_eq!(client.value(), "one");
+}
+
 #[test]
 fn late_answer_and_drain() {
     let mut s = stage("answer_drain");
