Log node states, attempts, closes and slow turns, and count slow turns

The staging incident could not be traced: at info level the log had no line between a gateway's start and its end, and at debug level neither the status of a node nor the time of a write was logged.

Added: the numbers of nodes by state at each update (info); a turn of the event loop of more than 50 ms (warn, at most one a second); the end of the shutdown grace period (info); at debug level each change of a node's status, each step of a request from receipt to final response, the delay between dispatch, turn and write, why a client connection is closed, and what a shutdown waits for. The console command turns prints the longest turn and the number of slow ones.

Decisions are unchanged; all tests pass.

--- a/crates/gateway/src/connections/client/closing.rs
+++ b/crates/gateway/src/connections/client/closing.rs
@@ -61,6 +61,10 @@
             if client.socket.shutdown_write().is_err() {
                 return self.drop_connection(client, context);
             }
+            log::debug!(
+                "client connection {}: all replies are written, closing",
+                u64::from(client.token())
+            );
             client.start_lingering(context.now);
             self.remove_from_requesting_clients(&mut client);
         }
@@ -76,6 +80,12 @@
     /// reply, the dispatcher is notified that the client has disconnected. That does not cancel
     /// every attempt; see [`crate::dispatcher::Dispatcher::record_response_not_needed`].
     pub(super) fn drop_connection(&mut self, mut client: ClientConnection, context: &mut Context) {
+        log::debug!(
+            "client connection {}: closed in state {:?}, {} commands without a reply",
+            u64::from(client.token()),
+            client.lifecycle,
+            client.replies.len()
+        );
         context.free(client.token());
         client.timer.cancel(&mut context.timers);
         self.count -= 1;
--- a/crates/gateway/src/connections/client/events.rs
+++ b/crates/gateway/src/connections/client/events.rs
@@ -36,6 +36,13 @@
             return;
         };
         client.timer.mark_expired();
+        log::debug!(
+            "client connection {}: its time limit has passed, {} commands without a reply, \
+             {} bytes of an incomplete command",
+            u64::from(token),
+            client.replies.len(),
+            client.socket.input.len()
+        );
         if client.is_closing() || !client.is_fully_replied() {
             return self.drop_connection(client, context);
         }
--- a/crates/gateway/src/connections/discovery_watch.rs
+++ b/crates/gateway/src/connections/discovery_watch.rs
@@ -227,6 +227,12 @@
                 "discovery: received {count} endpoints {elapsed_ms} ms after connecting started"
             );
         }
+        log::debug!(
+            "discovery: update to version {} from version {} with {} endpoints",
+            update.version,
+            self.list_version,
+            update.endpoints.len()
+        );
         self.list_version = update.version;
     }
 
--- a/crates/gateway/src/connections/node/attempts.rs
+++ b/crates/gateway/src/connections/node/attempts.rs
@@ -145,6 +145,7 @@
             return;
         }
         if context.dispatcher.may_write(connection.node, context.now) {
+            log_write(in_flight, context);
             return connection.encode_request(context.now, &mut context.timers);
         }
         let attempt = in_flight.attempt.id;
@@ -155,6 +156,24 @@
     }
 }
 
+/// Logs that the request of an attempt is written now, with the delay since its dispatch and the
+/// time since the turn began.
+fn log_write(in_flight: &InFlightAttempt, context: &Context) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let clock_time = context.clock_time();
+    let attempt = &in_flight.attempt;
+    log::debug!(
+        "request {}: writing attempt {} to node {}, {} us after its start, {} us into the turn",
+        attempt.request.client_request_id,
+        attempt.id.number,
+        attempt.node.0,
+        clock_time - in_flight.started_at,
+        clock_time - context.now
+    );
+}
+
 /// Returns whether a request of this operation may use a connection that was idle for `idle_for`
 /// microseconds. All writes count as non-idempotent here, whatever the idempotency of their class.
 fn is_idle_time_allowed(
--- a/crates/gateway/src/console/command.rs
+++ b/crates/gateway/src/console/command.rs
@@ -5,6 +5,8 @@
 pub enum ConsoleCommand {
     /// Print a one-line summary of the gateway's state.
     Status,
+    /// Print how long the turns of the event loop take.
+    Turns,
     /// Print the table of nodes.
     Nodes,
     /// Print the table of volumes.
@@ -45,6 +47,7 @@
 /// The text that the command `help` prints.
 pub const HELP: &str = "\
 status        print the numbers of nodes in service, connections and open requests
+turns         print the longest turn of the event loop and the number of slow turns
 nodes         list nodes: shard, state, attempts in flight (out), units served
 volumes       list volumes: requests received (taken), served, rejected (refused), failed; units
 drain NAME    send no new attempts to the node; attempts in flight are completed
@@ -64,6 +67,7 @@
     match words.as_slice() {
         [] => Ok(ConsoleCommand::Empty),
         ["status"] => Ok(ConsoleCommand::Status),
+        ["turns"] => Ok(ConsoleCommand::Turns),
         ["nodes"] => Ok(ConsoleCommand::Nodes),
         ["volumes"] => Ok(ConsoleCommand::Volumes),
         ["drain", name] => Ok(ConsoleCommand::Drain((*name).to_owned())),
--- a/crates/gateway/src/context/mod.rs
+++ b/crates/gateway/src/context/mod.rs
@@ -88,6 +88,11 @@
         self.now = self.clock.now();
     }
 
+    /// Returns the actual time, which is later than [`Context::now`] if the turn has lasted.
+    pub(crate) fn clock_time(&self) -> Micros {
+        self.clock.now()
+    }
+
     /// Returns the microseconds from the actual time, not [`Context::now`], until `at`; 0 if `at`
     /// has passed.
     pub(crate) fn time_until(&self, at: Micros) -> Micros {
--- a/crates/gateway/src/context/shutdown.rs
+++ b/crates/gateway/src/context/shutdown.rs
@@ -53,6 +53,9 @@
     /// [`EXIT_IDLE_TIME`] later, so that new connections have time to send a request.
     pub(crate) fn start_or_continue_closing_clients(&mut self) -> Micros {
         let was_closing_clients = std::mem::replace(&mut self.is_closing_clients, true);
+        if !was_closing_clients {
+            log::info!("shutdown: closing idle client connections from now on");
+        }
         if was_closing_clients {
             EXIT_IDLE_TIME
         } else {
--- a/crates/gateway/src/dispatcher/attempts.rs
+++ b/crates/gateway/src/dispatcher/attempts.rs
@@ -32,6 +32,13 @@
         let timer = DispatcherTimer::AttemptTimeout(attempt);
         timers.set(times_out_at, timer.into());
         self.nodes.attempt_started(node);
+        log::debug!(
+            "request {}: attempt {number} dispatched to node {} ({}), times out in {} us",
+            request.client_request_id,
+            node.0,
+            self.nodes.name(node),
+            times_out_at - now
+        );
         self.volume_counters.record_attempt(request.volume);
         self.commands.push(Command::StartAttempt {
             attempt,
@@ -74,6 +81,14 @@
         let timer = DispatcherTimer::AttemptTimeout(attempt);
         timers.cancel(completed.times_out_at, timer.into());
         let is_served = result.outcome == Outcome::Served;
+        log::debug!(
+            "request {}: attempt {} at node {} ended: {:?} after {} us",
+            unfinished.storage_request().client_request_id,
+            attempt.number,
+            completed.node.0,
+            result.outcome,
+            now - completed.dispatched_at
+        );
         let served_units = if is_served { units } else { Units::ZERO };
         self.nodes.attempt_completed(completed.node, served_units);
         if is_served {
@@ -121,6 +136,11 @@
             return;
         };
         let outcome = cause.outcome(awaited.may_have_executed);
+        log::debug!(
+            "attempt {} of request number {}: aborted, {cause:?}",
+            attempt.number,
+            attempt.request.0
+        );
         self.commands.push(Command::AbandonAttempt(attempt));
         self.complete_attempt(attempt, AttemptResult::without_body(outcome), now, timers);
     }
@@ -141,6 +161,10 @@
         if unfinished.take_reply_slot().is_none() {
             return;
         }
+        log::debug!(
+            "request {}: the client no longer waits for a response",
+            unfinished.storage_request().client_request_id
+        );
         let unexecuted = unfinished.unexecuted_attempts();
         self.events.push(Event::ResponseNotNeeded(id));
         for number in unexecuted {
--- a/crates/gateway/src/dispatcher/node_registry.rs
+++ b/crates/gateway/src/dispatcher/node_registry.rs
@@ -80,6 +80,11 @@
             .is_some_and(|node| node.may_write(now))
     }
 
+    /// Returns the name of a node for log lines; `?` if the node is unknown.
+    pub(super) fn name(&self, node: NodeId) -> &str {
+        self.nodes.get(&node).map_or("?", |node| node.name.as_str())
+    }
+
     /// Applies a snapshot or a delta of the endpoint list, and returns its records in the
     /// scheduler's form. Events that report a failure have no records.
     pub(super) fn apply(
@@ -101,6 +106,7 @@
             | EndpointListEvent::WatchLost => {}
         }
         self.update_write_deadlines(now);
+        self.log_numbers(event, endpoints.len());
         self.remove_obsolete();
         endpoints
     }
@@ -133,7 +139,7 @@
         let id = self.id_or_insert(&record.name);
         if let Some(node) = self.nodes.get_mut(&id) {
             node.shard = record.shard;
-            node.status = record.status;
+            node.set_status(record.status, id);
         }
         Endpoint {
             node: id,
@@ -163,7 +169,7 @@
         let listed: BTreeSet<NodeId> = endpoints.iter().map(|endpoint| endpoint.node).collect();
         for (id, node) in &mut self.nodes {
             if !listed.contains(id) {
-                node.status = EndpointStatus::Removed;
+                node.set_status(EndpointStatus::Removed, *id);
             }
         }
     }
@@ -177,6 +183,26 @@
         }
     }
 
+    /// Logs how many nodes an update has named, and how many there are in each state.
+    fn log_numbers(&self, event: EndpointListEvent, named: usize) {
+        if matches!(
+            event,
+            EndpointListEvent::PollFailed | EndpointListEvent::WatchLost
+        ) {
+            return;
+        }
+        let count = |status| {
+            let nodes = self.nodes.values();
+            nodes.filter(|node| node.status == status).count()
+        };
+        log::info!(
+            "endpoint list: {event:?} with {named} endpoints; {} in service, {} draining, {} removed",
+            count(EndpointStatus::InService),
+            count(EndpointStatus::Draining),
+            count(EndpointStatus::Removed)
+        );
+    }
+
     /// Removes all obsolete nodes. Replacement nodes may have new names, so the registry would
     /// otherwise grow without bound.
     fn remove_obsolete(&mut self) {
--- a/crates/gateway/src/dispatcher/node_state.rs
+++ b/crates/gateway/src/dispatcher/node_state.rs
@@ -1,6 +1,6 @@
 //! The state of one storage node.
 
-use io_scheduler::{EndpointStatus, Micros, Shard, Units};
+use io_scheduler::{EndpointStatus, Micros, NodeId, Shard, Units};
 
 /// State of a storage node in the dispatcher; the console prints it.
 #[derive(Clone, Debug)]
@@ -33,6 +33,21 @@
         }
     }
 
+    /// Sets the status that the endpoint list states. `id` is the node's id, for the log line.
+    pub(super) fn set_status(&mut self, status: EndpointStatus, id: NodeId) {
+        if self.status == status {
+            return;
+        }
+        log::debug!(
+            "node {} ({}): {:?} -> {status:?}, {} attempts in flight",
+            id.0,
+            self.name,
+            self.status,
+            self.attempts_in_flight
+        );
+        self.status = status;
+    }
+
     /// Returns whether the node can be dropped: it is removed and no attempt is in flight at it.
     pub(super) fn is_obsolete(&self) -> bool {
         self.status == EndpointStatus::Removed && self.attempts_in_flight == 0
--- a/crates/gateway/src/dispatcher/responses.rs
+++ b/crates/gateway/src/dispatcher/responses.rs
@@ -64,6 +64,11 @@
             return;
         };
         let request = unfinished.storage_request();
+        log::debug!(
+            "request {}: final response {}",
+            request.client_request_id,
+            response.name()
+        );
         self.volume_counters
             .record_response(request.volume, request.units, &response);
         self.commands.push(Command::Respond {
--- a/crates/gateway/src/dispatcher/submit.rs
+++ b/crates/gateway/src/dispatcher/submit.rs
@@ -66,6 +66,12 @@
     ) {
         let deadline = response_deadline(now, request.client_timeout);
         let scheduler_request = scheduler_request(id, &request, deadline);
+        log::debug!(
+            "request {}: received, class {}, response due in {} us",
+            request.client_request_id,
+            request.class.0,
+            deadline - now
+        );
         let unfinished = UnfinishedRequest::new(request, reply_slot, deadline);
         let timer = DispatcherTimer::RequestOverdue(id);
         timers.set(unfinished.overdue_at(), timer.into());
@@ -78,6 +84,10 @@
         let response = Response::Rejected {
             retry_after: OVERLOADED_RETRY_AFTER,
         };
+        log::debug!(
+            "request {}: rejected, the memory budget is exhausted",
+            request.client_request_id
+        );
         self.volume_counters
             .record_response(request.volume, request.units, &response);
         self.commands.push(Command::Respond {
--- a/crates/gateway/src/event_loop/console.rs
+++ b/crates/gateway/src/event_loop/console.rs
@@ -4,6 +4,7 @@
 use super::endpoint_table::OperatorOverride;
 use super::gateway::Gateway;
 use crate::console::{self, ConsoleCommand};
+use crate::context::MICROS_PER_MILLISECOND;
 use io_scheduler::EndpointStatus;
 use std::io::{self, Write};
 
@@ -47,6 +48,7 @@
         match command {
             ConsoleCommand::Empty => String::new(),
             ConsoleCommand::Help => console::HELP.to_owned(),
+            ConsoleCommand::Turns => self.format_turns(),
             ConsoleCommand::Nodes => console::format_nodes(self.context.dispatcher.nodes()),
             ConsoleCommand::Volumes => self.format_volumes(),
             ConsoleCommand::Status => self.format_status(),
@@ -94,6 +96,13 @@
         )
     }
 
+    /// Formats how long the turns of the event loop take in one line.
+    fn format_turns(&self) -> String {
+        let longest_ms = self.turn_statistics.longest() / MICROS_PER_MILLISECOND;
+        let slow = self.turn_statistics.slow();
+        format!("longest turn {longest_ms} ms, {slow} slow turns\n")
+    }
+
     /// Sets or clears the drain override of a node, and returns the output.
     fn override_from_console(&mut self, name: &str, operator_override: OperatorOverride) -> String {
         if let Err(error) = self.override_node(name, operator_override) {
--- a/crates/gateway/src/event_loop/gateway.rs
+++ b/crates/gateway/src/event_loop/gateway.rs
@@ -4,6 +4,7 @@
 use super::endpoint_table::EndpointTable;
 use super::error::GatewayError;
 use super::signals::SignalPipes;
+use super::turn_statistics::TurnStatistics;
 use crate::config::Config;
 use crate::connections::client::ClientConnections;
 use crate::connections::descriptors::ConnectionLimits;
@@ -34,6 +35,8 @@
     pub(super) signals: SignalPipes,
     /// The operator's console, if it is open.
     pub(super) console: Option<ConsoleInput>,
+    /// How long the turns of the event loop take.
+    pub(super) turn_statistics: TurnStatistics,
 }
 
 impl Gateway {
@@ -63,6 +66,7 @@
             watch: DiscoveryWatch::new(cached.version),
             signals: SignalPipes::default(),
             console: None,
+            turn_statistics: TurnStatistics::default(),
             context,
         };
         gateway.context.update_now();
--- a/crates/gateway/src/event_loop/mod.rs
+++ b/crates/gateway/src/event_loop/mod.rs
@@ -19,6 +19,7 @@
 mod shutdown;
 mod signals;
 mod turn;
+mod turn_statistics;
 
 pub use error::GatewayError;
 pub use gateway::Gateway;
--- a/crates/gateway/src/event_loop/shutdown.rs
+++ b/crates/gateway/src/event_loop/shutdown.rs
@@ -17,6 +17,11 @@
     /// shutdown is complete.
     pub(super) fn close_idle_clients(&mut self) {
         let min_idle_time = self.context.shutdown.start_or_continue_closing_clients();
+        log::debug!(
+            "shutdown: {} client connections and {} requests without a response are open",
+            self.client_connections.count(),
+            self.context.dispatcher.open_requests()
+        );
         self.client_connections
             .close_idle_for(min_idle_time, &mut self.context);
         self.context
--- a/crates/gateway/src/event_loop/turn.rs
+++ b/crates/gateway/src/event_loop/turn.rs
@@ -2,6 +2,7 @@
 
 use super::error::GatewayError;
 use super::gateway::Gateway;
+use super::turn_statistics::TurnWork;
 use crate::connection_token::ConnectionToken;
 use crate::dispatcher::Command;
 use io_scheduler::Micros;
@@ -22,7 +23,10 @@
         loop {
             self.context.poller.wait(&mut events, self.poll_timeout())?;
             self.context.update_now();
-            self.run_turn(&events, &mut commands);
+            let work = self.run_turn(&events, &mut commands);
+            let started_at = self.context.now;
+            self.turn_statistics
+                .record(started_at, self.context.clock_time(), work);
             if self.update_shutdown(&events) {
                 log::info!("shutdown complete");
                 return Ok(());
@@ -45,8 +49,12 @@
 
     /// Runs one turn: handles ready connections and expired timers, calls the scheduler with the
     /// resulting events, runs the commands of the dispatcher, and closes excess client connections.
-    /// `commands` is a reused buffer, empty between turns.
-    fn run_turn(&mut self, events: &[Event], commands: &mut Vec<Command>) {
+    /// `commands` is a reused buffer, empty between turns. Returns what was handled.
+    fn run_turn(&mut self, events: &[Event], commands: &mut Vec<Command>) -> TurnWork {
+        let mut work = TurnWork {
+            events: events.len(),
+            ..TurnWork::default()
+        };
         for event in events {
             let flags = event.flags;
             let token = ConnectionToken::from(event.data.u64());
@@ -54,14 +62,17 @@
         }
         while let Some(timer) = self.context.timers.pop_expired(self.context.now) {
             self.handle_timer(timer);
+            work.timers += 1;
         }
         self.context
             .dispatcher
             .run_scheduler(self.context.now, &mut self.context.timers, commands);
+        work.commands = commands.len();
         for command in commands.drain(..) {
             self.run_command(command);
         }
         self.client_connections
             .close_excess_requesting_clients(&mut self.context);
+        work
     }
 }
--- a/crates/gateway/src/storage_request/response.rs
+++ b/crates/gateway/src/storage_request/response.rs
@@ -53,3 +53,17 @@
     /// The request failed because no result arrived in time. It may have been executed.
     TimedOut,
 }
+
+impl Response {
+    /// Returns the name of the response for log lines, without its content.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Response::Served(_) => "served",
+            Response::Rejected { .. } => "rejected",
+            Response::Invalid(_) => "invalid",
+            Response::Failed => "failed",
+            Response::TimedOut => "timed out",
+        }
+    }
+}
