--- a/crates/gateway/src/dispatcher/node_registry.rs
+++ b/crates/gateway/src/dispatcher/node_registry.rs
@@ -196,7 +196,8 @@
             nodes.filter(|node| node.status == status).count()
         };
         log::info!(
-            "endpoint list: {event:?} with {named} endpoints; {} in service, {} draining, {} removed",
+            "endpoint list: {event:?} with {named} endpoints; {} in service, {} draining, \
+             {} removed",
             count(EndpointStatus::InService),
             count(EndpointStatus::Draining),
             count(EndpointStatus::Removed)
