Reproduce the late writes and the unanswered requests of the staging incident

- A connection that is established and a notification that arrives while the process is held up: the request is written although the node drains.
- After SIGTERM, a request on a connection that an earlier request keeps open, and one on a new connection, to a node that does not answer: no reply by the time of the kill, 3.7 s after SIGTERM.
- A request whose last byte arrives 100 ms before the kill: forwarded, no reply.

--- a/crates/gateway/tests/gateway_process/harness/config.rs
+++ b/crates/gateway/tests/gateway_process/harness/config.rs
@@ -72,6 +72,15 @@
     )
 }
 
+/// Shortens the drain grace period from 500 ms to 250 ms.
+pub fn with_drain_grace_of_250_ms(config: &str) -> String {
+    replace_setting(
+        config,
+        "\"stop_sending_within_ms\": 500",
+        "\"stop_sending_within_ms\": 250",
+    )
+}
+
 /// Makes the gateway poll a discovery agent instead of the discovery service. `FakeDiscovery` then
 /// acts as the agent.
 pub fn with_discovery_agent(config: &str) -> String {
--- a/crates/gateway/tests/gateway_process/harness/connection.rs
+++ b/crates/gateway/tests/gateway_process/harness/connection.rs
@@ -7,7 +7,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How the gateway ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,6 +140,25 @@
         assert_eq!(self.receive_value(), value);
     }
 
+    /// As a client: returns whether the gateway replies or closes the connection with a FIN before
+    /// `time`. Consumes the reply.
+    pub fn gets_reply_or_close_before(&mut self, time: Instant) -> bool {
+        loop {
+            let mut position = 0;
+            if decode_value(&self.input, &mut position).is_some() {
+                self.input.drain(..position);
+                return true;
+            }
+            self.set_read_timeout_until(time);
+            let mut bytes = [0; 1 << 10];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(count) => self.input.extend_from_slice(&bytes[..count]),
+                Err(_) => return false,
+            }
+        }
+    }
+
     /// As a client: checks that the next value is the reply to `PING`.
     #[track_caller]
     pub fn expect_pong(&mut self) {
@@ -196,6 +215,23 @@
         self.expect_closed();
     }
 
+    /// Waits until the gateway sends bytes or ends the connection, or until `time`. Returns whether
+    /// bytes were sent.
+    pub fn receives_bytes_before(&mut self, time: Instant) -> bool {
+        self.set_read_timeout_until(time);
+        matches!(self.stream.read(&mut [0; 1 << 10]), Ok(count) if count > 0)
+    }
+
+    /// Lets reads wait until `time`.
+    fn set_read_timeout_until(&self, time: Instant) {
+        let timeout = time
+            .saturating_duration_since(Instant::now())
+            .max(Duration::from_millis(1));
+        self.stream
+            .set_read_timeout(Some(timeout))
+            .expect("the timeout should be valid");
+    }
+
     /// Closes the connection with a FIN.
     pub fn close(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
--- a/crates/gateway/tests/gateway_process/races/node_connections.rs
+++ b/crates/gateway/tests/gateway_process/races/node_connections.rs
@@ -3,7 +3,8 @@
 
 use crate::harness::cluster::{serve_request, TestCluster};
 use crate::harness::config::{
-    with_1024_descriptors, with_long_connect_timeout, with_short_drain_grace,
+    with_1024_descriptors, with_drain_grace_of_250_ms, with_long_connect_timeout,
+    with_short_drain_grace,
 };
 use crate::harness::discovery::encode_delta_chunk;
 use crate::harness::gateway::MAX_READ_BYTES;
@@ -12,6 +13,8 @@
     encode_read_request, encode_read_request_for_another_object, encode_read_request_with_deadline,
     encode_value_response, encode_write_request, SplitRequest,
 };
+use crate::harness::wait_until;
+use std::time::{Duration, Instant};
 
 /// A complete response and a reset of the connection are ready in the same turn of the event loop,
 /// the response first. The gateway must not treat the attempt as failed and retry it.
@@ -162,3 +165,66 @@
     let mut node = cluster.node_a.accept();
     serve_request(&mut node, &mut read.client, "a2", "two");
 }
+
+/// How long after an unanswered connection request the system repeats it.
+const CONNECT_RETRANSMISSION: Duration = Duration::from_millis(1_000);
+/// The drain grace of 250 ms and the 50 ms by which the protocol extends every time limit.
+const DRAIN_LIMIT: Duration = Duration::from_millis(300);
+
+/// The gateway is held up for 140 ms when the notification arrives, and the connection is
+/// established 330 ms after the notification.
+#[test]
+fn request_is_not_written_after_the_drain_grace_if_the_notification_is_handled_late() {
+    let mut cluster = TestCluster::start_with(|config| {
+        with_long_connect_timeout(&with_drain_grace_of_250_ms(config))
+    });
+    let queue = cluster.node_a.fill_accept_queue();
+    let connecting_since = Instant::now();
+    let _client = cluster.gateway.connect_and_send(encode_read_request("a1"));
+
+    wait_until(connecting_since + CONNECT_RETRANSMISSION - Duration::from_millis(330));
+    cluster.gateway.pause();
+    let notified_at = Instant::now();
+    cluster
+        .watch
+        .send(encode_delta_chunk(3, &[cluster.node_a.draining_entry()]));
+    wait_until(notified_at + Duration::from_millis(140));
+    cluster.gateway.resume();
+    cluster.node_a.empty_accept_queue(&queue);
+
+    let mut node = cluster.node_a.accept();
+    let is_written = node.receives_bytes_before(notified_at + Duration::from_secs(1));
+    let delay = notified_at.elapsed();
+    assert!(
+        !is_written || delay <= DRAIN_LIMIT,
+        "the request was written {delay:?} after the notification"
+    );
+}
+
+/// The connection to the node is established and the node starts to drain before a turn of the
+/// event loop. The turn must not write the request before it has applied the notification.
+#[test]
+fn drain_is_applied_before_a_connection_that_becomes_ready_in_the_same_turn() {
+    let mut cluster = TestCluster::start_with(|config| {
+        with_long_connect_timeout(&with_drain_grace_of_250_ms(config))
+    });
+    let queue = cluster.node_a.fill_accept_queue();
+    let _client = cluster.gateway.connect_and_send(encode_read_request("a1"));
+    // The first wait may end in the turn that starts to connect.
+    cluster.gateway.wait_until_input_is_processed();
+    cluster.gateway.wait_until_input_is_processed();
+
+    cluster.gateway.pause();
+    cluster.node_a.empty_accept_queue(&queue);
+    let mut node = cluster.node_a.accept();
+    cluster
+        .watch
+        .send(encode_delta_chunk(3, &[cluster.node_a.draining_entry()]));
+    cluster.gateway.resume();
+
+    let observed_until = Instant::now() + Duration::from_secs(1);
+    assert!(
+        !node.receives_bytes_before(observed_until),
+        "the request was written after the node had started to drain"
+    );
+}
--- a/crates/gateway/tests/gateway_process/races/shutdown.rs
+++ b/crates/gateway/tests/gateway_process/races/shutdown.rs
@@ -7,7 +7,8 @@
 use crate::harness::requests::{
     encode_read_request, encode_read_request_with_deadline, forwarded_deadline_ms, SplitRequest,
 };
-use std::time::Instant;
+use crate::harness::wait_until;
+use std::time::{Duration, Instant};
 
 /// As [`serve_request`], and checks that the gateway then closes the client's connection.
 #[track_caller]
@@ -255,3 +256,50 @@
     read.complete_and_expect_client_close("one");
     cluster.gateway.expect_clean_exit();
 }
+
+/// The kill comes the longest deadline, counted as at most 3 s, plus 0.7 s after SIGTERM.
+const KILL_AFTER_SIGTERM: Duration = Duration::from_millis(3_700);
+
+/// Both requests may wait until after the kill, and the node never answers. The first one arrives on
+/// a connection that a request from before SIGTERM keeps open, the second one on a new connection.
+#[test]
+fn request_received_late_in_a_shutdown_is_answered_before_the_kill() {
+    let mut cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    let kill_at = Instant::now() + KILL_AFTER_SIGTERM;
+    cluster.gateway.request_shutdown_and_wait_for_idle_close();
+
+    read.client.send(encode_read_request("a2"));
+    let mut second_client = cluster
+        .gateway
+        .connect_and_send_while_paused(encode_read_request("a3"));
+
+    let a3_is_answered = second_client.gets_reply_or_close_before(kill_at);
+    let a1_is_answered = read.client.gets_reply_or_close_before(kill_at);
+    let a2_is_answered = read.client.gets_reply_or_close_before(kill_at);
+    assert_eq!(
+        [a1_is_answered, a2_is_answered, a3_is_answered],
+        [true; 3],
+        "a1, a2 and a3 must be answered before the kill"
+    );
+}
+
+/// The last byte of the request arrives so late that the node has no time to answer.
+#[test]
+fn request_completed_just_before_the_kill_has_a_reply_or_a_closed_connection() {
+    let mut cluster = TestCluster::start();
+    let _read = cluster.start_read("a1");
+    let kill_at = Instant::now() + KILL_AFTER_SIGTERM;
+    cluster.gateway.request_shutdown();
+    let request = SplitRequest::new(&encode_read_request("a2"));
+    wait_until(kill_at - Duration::from_millis(2_000));
+    let mut client = cluster
+        .gateway
+        .connect_and_send_while_paused(&request.first_half);
+
+    wait_until(kill_at - Duration::from_millis(100));
+    client.send_after_close(request.second_half);
+
+    let is_answered = client.gets_reply_or_close_before(kill_at);
+    assert!(is_answered, "a2 has no reply before the kill");
+}
