--- a/crates/gateway/tests/gateway_process/harness/config.rs
+++ b/crates/gateway/tests/gateway_process/harness/config.rs
@@ -81,6 +81,11 @@
     )
 }
 
+/// Raises the number of gateways that poll the same discovery service from 1 to 100.
+pub fn with_100_gateways(config: &str) -> String {
+    replace_setting(config, "\"group_size\": 1", "\"group_size\": 100")
+}
+
 /// Makes the gateway poll a discovery agent instead of the discovery service. `FakeDiscovery` then
 /// acts as the agent.
 pub fn with_discovery_agent(config: &str) -> String {
--- a/crates/gateway/tests/gateway_process/races/shutdown.rs
+++ b/crates/gateway/tests/gateway_process/races/shutdown.rs
@@ -260,8 +260,8 @@
 /// The kill comes the longest deadline, counted as at most 3 s, plus 0.7 s after SIGTERM.
 const KILL_AFTER_SIGTERM: Duration = Duration::from_millis(3_700);
 
-/// Both requests may wait until after the kill, and the node never answers. The first one arrives on
-/// a connection that a request from before SIGTERM keeps open, the second one on a new connection.
+/// Both requests may wait until after the kill, and the node never answers. One arrives on a
+/// connection that a request from before SIGTERM keeps open, the other one on a new connection.
 #[test]
 fn request_received_late_in_a_shutdown_is_answered_before_the_kill() {
     let mut cluster = TestCluster::start();
