Give every request its response before the kill of a shutdown

A connection with a pending reply stays open and its next commands are run; a half command keeps its connection open as well; new connections are accepted.

Change: the scheduler gets Event::ShutdownRequested and limits the deadline of every open and every later request to an answer deadline, 0.4 s before the kill: 0.15 s for a process that is held up before it reads the signal, 0.15 s before it writes, and 0.1 s for the work. The usual rules then reject or fail what is open, with Retry-After where a retry is safe. At that time it returns Action::CloseClients: the gateway runs what has arrived, answers half commands with an error and closes all connections. It works for any deadline, since the kill is computed from the settings.

Why it works: no request outlives the answer deadline, whatever connection it came on, and nothing that arrives later is forwarded.

Class of the fault: a commitment that outlives the process.

--- a/crates/gateway/src/connections/client/closing.rs
+++ b/crates/gateway/src/connections/client/closing.rs
@@ -20,6 +20,40 @@
         }
     }
 
+    /// Closes all connections at the end of a graceful shutdown. A complete command that has
+    /// arrived is still run; an incomplete one gets an error. Connections with a pending reply are
+    /// closed once it is written.
+    pub(crate) fn close_all(&mut self, context: &mut Context) {
+        let tokens: Vec<ConnectionToken> = context.tokens_of(DescriptorKind::Client).collect();
+        for token in tokens {
+            self.run_commands_and_close(token, context);
+        }
+    }
+
+    /// Runs the commands that have arrived on a connection, then closes it unless a reply is
+    /// pending.
+    fn run_commands_and_close(&mut self, token: ConnectionToken, context: &mut Context) {
+        let Some(mut client) = self.take(token) else {
+            return;
+        };
+        if client.is_closing() {
+            return self.store(client, &mut context.timers);
+        }
+        if client.read_before_close() == PreCloseRead::Ended {
+            return self.drop_connection(client, context);
+        }
+        self.run_commands_and_flush(client, context);
+        let Some(mut client) = self.take(token) else {
+            return;
+        };
+        if !client.is_closing() && client.is_fully_replied() {
+            let reply = client.protocol.overloaded_reply();
+            client.close_after_reply(reply);
+            return self.run_commands_and_flush(client, context);
+        }
+        self.store(client, &mut context.timers);
+    }
+
     /// Returns whether a connection has been idle for at least `min_idle_time` microseconds.
     fn is_idle_for(&self, token: ConnectionToken, min_idle_time: Micros, now: Micros) -> bool {
         let Some(client) = self.get(token) else {
--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Reports to the scheduler that a graceful shutdown was requested.
+    pub fn request_shutdown(&mut self) {
+        self.events.push(Event::ShutdownRequested);
+    }
+
     /// Returns whether events for the scheduler or commands for the event loop are pending.
     #[must_use]
     pub fn has_pending_events_or_commands(&self) -> bool {
@@ -88,6 +93,7 @@
                 let attempt = AttemptId { request, number };
                 self.abort_attempt(attempt, AbortCause::Cancelled, now, timers);
             }
+            Action::CloseClients => self.commands.push(Command::CloseClients),
             Action::OpenWatch => self.commands.push(Command::OpenWatch),
             Action::SetTimer(at) => {
                 let timer = DispatcherTimer::Scheduler.into();
--- a/crates/gateway/src/event_loop/shutdown.rs
+++ b/crates/gateway/src/event_loop/shutdown.rs
@@ -11,6 +11,7 @@
         self.context
             .shutdown
             .request(self.context.now, &mut self.context.timers);
+        self.context.dispatcher.request_shutdown();
     }
 
     /// Closes idle client connections, and sets the shutdown timer to do so again until the
@@ -29,6 +30,16 @@
             .set(self.context.now + EXIT_IDLE_TIME, Timer::Shutdown);
     }
 
+    /// Closes all client connections after their last reply, because the process is killed soon.
+    pub(super) fn close_all_clients(&mut self) {
+        log::info!(
+            "shutdown: closing all {} client connections, {} requests without a response are open",
+            self.client_connections.count(),
+            self.context.dispatcher.open_requests()
+        );
+        self.client_connections.close_all(&mut self.context);
+    }
+
     /// Updates the idle state of the shutdown after a turn. Returns whether the gateway can exit:
     /// it is closing idle clients, has been idle for long enough, and the poller reported no event
     /// in this turn.
--- a/crates/gateway/tests/gateway_process/races/cached_list.rs
+++ b/crates/gateway/tests/gateway_process/races/cached_list.rs
@@ -1,5 +1,5 @@
-//! Races between the first requests after a start, when the gateway has only the cached endpoint list
-//! of its configuration, and the first answer of discovery.
+//! Races between the first requests after a start, when the gateway has only the cached endpoint
+//! list of its configuration, and the first answer of discovery.
 
 use crate::harness::config::with_100_gateways;
 use crate::harness::discovery::FakeDiscovery;
--- a/crates/scheduler/src/api/actions.rs
+++ b/crates/scheduler/src/api/actions.rs
@@ -31,6 +31,9 @@
         /// Number of the attempt within the request, from 0.
         attempt: u32,
     },
+    /// Close all connections of clients after their last response, because the host is killed soon:
+    /// requests that arrive from now on are rejected. Returned at most once.
+    CloseClients,
     /// Open a watch on the endpoint list.
     OpenWatch,
     /// Deliver [`Event::TimerFired`](super::Event::TimerFired) at or after this time.
--- a/crates/scheduler/src/api/events.rs
+++ b/crates/scheduler/src/api/events.rs
@@ -129,6 +129,9 @@
     /// No further response is needed: the client has disconnected, or the caller has already
     /// responded.
     ResponseNotNeeded(RequestId),
+    /// The host was asked to shut down and will be killed a stated time later
+    /// (`request::shutdown`). Only the first such event has an effect.
+    ShutdownRequested,
     /// An attempt completed.
     AttemptCompleted(CompletedAttempt),
 }
--- a/crates/scheduler/src/api/settings.rs
+++ b/crates/scheduler/src/api/settings.rs
@@ -104,6 +104,9 @@
     pub plans: Vec<VolumePlan>,
     /// Number of hosts that share the nodes, this one included.
     pub host_count: u32,
+    /// Longest time in microseconds that a client waits for the response to a request, over all
+    /// classes.
+    pub longest_client_timeout: Micros,
     /// Maximum number of attempts of one request, the first included.
     pub max_attempts: u32,
     /// Whether attempts in flight may be cancelled.
--- a/crates/scheduler/src/request/unfinished.rs
+++ b/crates/scheduler/src/request/unfinished.rs
@@ -90,6 +90,14 @@
         self.reject_at
     }
 
+    /// Moves the deadline, the end of the latency objective and the rejection to `deadline` if they
+    /// are later.
+    pub fn limit_deadline(&mut self, deadline: Micros) {
+        self.request.deadline = self.request.deadline.min(deadline);
+        self.objective_ends_at = self.objective_ends_at.min(deadline);
+        self.reject_at = self.reject_at.min(deadline);
+    }
+
     /// Postpones the rejection until `reject_at`.
     pub fn postpone_rejection(&mut self, reject_at: Micros) {
         self.reject_at = reject_at;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -27,6 +27,7 @@
 use crate::request::key_ordering::KeySequences;
 use crate::request::latency_objective::LatencyObjectives;
 use crate::request::shedding::RejectionTimes;
+use crate::request::shutdown::ShutdownDeadline;
 use crate::request::UnfinishedRequest;
 use crate::retry::eligibility::RetryEligibility;
 use crate::retry::retry_budget::RetryBudgetUsage;
@@ -59,6 +60,8 @@
     unroutable: BTreeSet<RequestId>,
     /// Times at which open requests are rejected (load shedding).
     rejections: RejectionTimes,
+    /// When requests must have their final response while the host shuts down.
+    shutdown: ShutdownDeadline,
     /// Latency objectives of requests that were closed without a known served attempt. If the
     /// client resends such a request, it keeps its objective.
     objectives: LatencyObjectives,
@@ -90,6 +93,7 @@
             requests: BTreeMap::new(),
             unroutable: BTreeSet::new(),
             rejections: RejectionTimes::default(),
+            shutdown: ShutdownDeadline::default(),
             objectives: LatencyObjectives::default(),
             key_sequences: KeySequences::default(),
             retry_budget: RetryBudgetUsage::new(settings.retry_budget.clone()),
@@ -117,6 +121,7 @@
             self.handle_event(event);
         }
         self.reject_or_fail_expired();
+        self.close_clients_if_due();
         self.dispatch_pending();
         self.poll_if_due();
         self.clean_up();
@@ -135,6 +140,7 @@
             Event::ResponseStarted(id) => self.close_and_record_objective(*id),
             Event::ResponseNotNeeded(id) => self.on_response_not_needed(*id),
             Event::AttemptCompleted(completed) => self.on_attempt_completed(completed),
+            Event::ShutdownRequested => self.on_shutdown_requested(),
             Event::TimerFired => {}
         }
     }
--- a/crates/scheduler/src/scheduler/completion.rs
+++ b/crates/scheduler/src/scheduler/completion.rs
@@ -110,6 +110,27 @@
         }
     }
 
+    /// Limits the deadlines of all open requests to the answer deadline of the shutdown.
+    pub(super) fn on_shutdown_requested(&mut self) {
+        let longest_timeout = self.settings.longest_client_timeout;
+        let answer_by = self.shutdown.request(longest_timeout, self.now);
+        for unfinished in self.requests.values_mut() {
+            if unfinished.is_open() {
+                self.rejections.remove(unfinished);
+                unfinished.limit_deadline(answer_by);
+                self.rejections.add(unfinished);
+            }
+        }
+    }
+
+    /// Requests that the connections of clients are closed, once the answer deadline of the
+    /// shutdown has passed.
+    pub(super) fn close_clients_if_due(&mut self) {
+        if self.shutdown.take_passed(self.now) {
+            self.actions.push(Action::CloseClients);
+        }
+    }
+
     /// Gives an open request its final response: a rejection if the client can safely retry,
     /// otherwise a failure.
     fn reject_or_fail(&mut self, id: RequestId) {
--- a/crates/scheduler/src/scheduler/intake.rs
+++ b/crates/scheduler/src/scheduler/intake.rs
@@ -9,10 +9,17 @@
 use crate::request::UnfinishedRequest;
 
 impl Scheduler {
+    /// Limits the deadline of a request to the answer deadline of a shutdown, then registers it.
+    pub(super) fn on_request(&mut self, request: &Request) {
+        let mut request = request.clone();
+        request.deadline = self.shutdown.limit(request.deadline);
+        self.register(&request);
+    }
+
     /// Registers a request with its volume and queues it, unless an earlier request with the same
     /// key has to be executed first. A request whose class or plan is not in the settings is
     /// ignored.
-    pub(super) fn on_request(&mut self, request: &Request) {
+    fn register(&mut self, request: &Request) {
         let known_shard = self.served_shard(request);
         let Some(class) = self.settings.classes.get(request.class.0) else {
             return;
--- a/crates/scheduler/src/scheduler/wakeup.rs
+++ b/crates/scheduler/src/scheduler/wakeup.rs
@@ -35,6 +35,7 @@
             self.polling.next_poll_at(),
             self.rejections.next(),
             self.key_sequences.next_check_at(),
+            self.shutdown.next_check_at(),
         ];
         times.into_iter().flatten().min()
     }
--- a/crates/scheduler/tests/characterization/scheduler_adapter.rs
+++ b/crates/scheduler/tests/characterization/scheduler_adapter.rs
@@ -54,6 +54,7 @@
         classes: deployment.classes.iter().map(request_class).collect(),
         plans: deployment.plans.iter().map(volume_plan).collect(),
         host_count: deployment.host_count,
+        longest_client_timeout: 10_000_000,
         max_attempts: deployment.max_attempts,
         cancellation_allowed: deployment.cancellation_allowed,
         discovery_clients: deployment.discovery_clients,
@@ -211,6 +212,7 @@
                 attempt: *attempt,
             }
         }
+        Action::CloseClients => unreachable!("no scenario requests a shutdown"),
         Action::OpenWatch => Decision::OpenWatch,
         Action::SetTimer(at) => Decision::SetTimer(*at),
     }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -40,6 +40,7 @@
         classes: vec![request_class(Idempotency::Idempotent)],
         plans: vec![volume_plan(0.0, 1.0, 0.0)],
         host_count: 1,
+        longest_client_timeout: 10_000_000,
         max_attempts: 3,
         cancellation_allowed: true,
         discovery_clients: 0,
--- a/crates/settings/src/conversion.rs
+++ b/crates/settings/src/conversion.rs
@@ -5,7 +5,7 @@
 use crate::values::{DeduplicationScopeSetting, DiscoverySetting, IdempotencySetting};
 use crate::UnknownValue;
 use io_scheduler::{
-    DeduplicationScope, Idempotency, RequestClass, RetryBudget, Settings, SlowStart, Units,
+    DeduplicationScope, Idempotency, Micros, RequestClass, RetryBudget, Settings, SlowStart, Units,
     UnitsPerSecond, VolumePlan,
 };
 
@@ -26,6 +26,7 @@
             classes: self.request_classes()?,
             plans: self.plans.iter().map(VolumePlan::from).collect(),
             host_count: self.gateway_count,
+            longest_client_timeout: self.longest_client_timeout(),
             max_attempts: features_and_limits.max_attempts,
             cancellation_allowed: features_and_limits.cancellation,
             discovery_clients: self.discovery_clients(),
@@ -47,6 +48,12 @@
         self.classes.iter().map(RequestClass::try_from).collect()
     }
 
+    /// Returns the longest time that clients wait for a response, over all classes.
+    fn longest_client_timeout(&self) -> Micros {
+        let timeouts = self.classes.iter().map(|class| micros(class.deadline_ms));
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the number of gateways that poll the same discovery endpoint: all of them if they
     /// poll the discovery service itself, 1 if each polls the agent on its own host, and 0 if this
     /// gateway polls neither.
