Accept no clients before discovery has been asked for the endpoint list

Cause: a gateway that starts used the cached list of its configuration until its first poll, which is spread over up to 3 s in a large fleet. Gateways that were down for 5 s and polled late sent by a list that was 6.3 s old.

Change: a cached list is reported to the scheduler as unconfirmed if discovery is configured. The scheduler dispatches nothing by it, and the gateway accepts no client, until an update arrives or a poll fails; clients wait in the accept queue and then get their PONG. After SIGTERM clients are accepted at once, so that each gets a response.

Why it works: the first request is handled after discovery was asked, so what it had to tell is known, whatever the length of the outage. If discovery cannot be reached, the cached list is used as before.

Class of the fault: acting on state from before a restart.

A test of the scheduler for both ways out.

--- a/crates/gateway/src/connections/listener.rs
+++ b/crates/gateway/src/connections/listener.rs
@@ -111,6 +111,14 @@
             .set(context.now + ACCEPT_PAUSE, Timer::ResumeAccepting);
     }
 
+    /// Stops accepting on all listeners until [`Self::resume`]. Clients can connect, and wait in
+    /// the accept queue.
+    pub(crate) fn pause_all(&self, context: &Context) {
+        for listener in &self.listeners {
+            set_events(listener, EventFlags::empty(), context);
+        }
+    }
+
     /// Resumes accepting on all listeners.
     pub(crate) fn resume(&self, context: &Context) {
         for listener in &self.listeners {
--- a/crates/gateway/src/dispatcher/command.rs
+++ b/crates/gateway/src/dispatcher/command.rs
@@ -27,6 +27,8 @@
         /// The final response.
         response: Response,
     },
+    /// Accept clients from now on.
+    AcceptClients,
     /// Close all client connections after their last reply.
     CloseClients,
     /// Open a watch on the endpoint list.
--- a/crates/gateway/src/dispatcher/node_registry.rs
+++ b/crates/gateway/src/dispatcher/node_registry.rs
@@ -98,7 +98,9 @@
             .map(|record| self.apply_record(record))
             .collect();
         match event {
-            EndpointListEvent::Snapshot | EndpointListEvent::Cached => {
+            EndpointListEvent::Snapshot
+            | EndpointListEvent::Cached
+            | EndpointListEvent::Unconfirmed => {
                 self.mark_unlisted_as_removed(&endpoints);
             }
             EndpointListEvent::Delta
--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -93,6 +93,7 @@
                 let attempt = AttemptId { request, number };
                 self.abort_attempt(attempt, AbortCause::Cancelled, now, timers);
             }
+            Action::AcceptClients => self.commands.push(Command::AcceptClients),
             Action::CloseClients => self.commands.push(Command::CloseClients),
             Action::OpenWatch => self.commands.push(Command::OpenWatch),
             Action::SetTimer(at) => {
--- a/crates/gateway/src/event_loop/events.rs
+++ b/crates/gateway/src/event_loop/events.rs
@@ -125,6 +125,7 @@
                 self.client_connections
                     .respond(reply_slot, response, context);
             }
+            Command::AcceptClients => self.accept_clients(),
             Command::CloseClients => self.close_all_clients(),
             Command::OpenWatch => self.watch.open(context),
         }
--- a/crates/gateway/src/event_loop/gateway.rs
+++ b/crates/gateway/src/event_loop/gateway.rs
@@ -70,11 +70,33 @@
             context,
         };
         gateway.context.update_now();
-        gateway.apply_endpoint_update(&cached, EndpointListEvent::Cached);
+        let event = gateway.cached_list_event();
+        gateway.apply_endpoint_update(&cached, event);
         gateway.open()?;
+        if event == EndpointListEvent::Unconfirmed {
+            log::info!("accepting no clients until discovery has been asked for the endpoint list");
+            gateway.listeners.pause_all(&gateway.context);
+        }
         Ok(gateway)
     }
 
+    /// Returns the event for the cached endpoint list. With an inventory or without discovery, no
+    /// poll confirms the list.
+    fn cached_list_event(&self) -> EndpointListEvent {
+        let config = &self.context.config;
+        if config.discovery.is_some() && config.inventory.is_none() {
+            EndpointListEvent::Unconfirmed
+        } else {
+            EndpointListEvent::Cached
+        }
+    }
+
+    /// Accepts clients, after the start or a pause.
+    pub(super) fn accept_clients(&mut self) {
+        log::info!("accepting clients");
+        self.listeners.resume(&self.context);
+    }
+
     /// Opens the listeners, reads the inventory and installs the signal handlers.
     fn open(&mut self) -> Result<(), GatewayError> {
         if let Some(address) = self.context.config.listen {
--- a/crates/gateway/src/event_loop/shutdown.rs
+++ b/crates/gateway/src/event_loop/shutdown.rs
@@ -12,6 +12,8 @@
             .shutdown
             .request(self.context.now, &mut self.context.timers);
         self.context.dispatcher.request_shutdown();
+        // Clients that are waiting to be accepted need a response before the process ends.
+        self.listeners.resume(&self.context);
     }
 
     /// Closes idle client connections, and sets the shutdown timer to do so again until the
--- a/crates/scheduler/src/api/actions.rs
+++ b/crates/scheduler/src/api/actions.rs
@@ -31,6 +31,10 @@
         /// Number of the attempt within the request, from 0.
         attempt: u32,
     },
+    /// Accept clients from now on. Returned once after [`EndpointListEvent::Unconfirmed`].
+    ///
+    /// [`EndpointListEvent::Unconfirmed`]: super::EndpointListEvent::Unconfirmed
+    AcceptClients,
     /// Close all connections of clients after their last response, because the host is killed soon:
     /// requests that arrive from now on are rejected. Returned at most once.
     CloseClients,
--- a/crates/scheduler/src/api/events.rs
+++ b/crates/scheduler/src/api/events.rs
@@ -35,6 +35,10 @@
 pub enum EndpointListEvent {
     /// The list that the host cached before it started, which may be out of date.
     Cached,
+    /// As [`EndpointListEvent::Cached`], for a host that polls discovery: the list is not used, and
+    /// no clients are accepted, until an update arrives or a poll fails
+    /// (`endpoints::list_confirmation`).
+    Unconfirmed,
     /// The complete list.
     Snapshot,
     /// The entries that changed.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,7 +23,7 @@
     Action, Endpoint, EndpointListEvent, Event, Micros, RequestId, Settings, StateSizes,
 };
 use crate::dmclock::ShardQueues;
-use crate::endpoints::{EndpointPolling, NodeTable};
+use crate::endpoints::{EndpointPolling, ListConfirmation, NodeTable};
 use crate::request::key_ordering::KeySequences;
 use crate::request::latency_objective::LatencyObjectives;
 use crate::request::shedding::RejectionTimes;
@@ -50,6 +50,8 @@
     actions: Vec<Action>,
     /// Nodes, and the node that holds each shard.
     nodes: NodeTable,
+    /// Whether the endpoint list may be used.
+    list_confirmation: ListConfirmation,
     /// Queued requests, by shard.
     queues: ShardQueues,
     /// Plan, limit and usage of each volume.
@@ -88,6 +90,7 @@
             now,
             actions: Vec::new(),
             nodes: NodeTable::default(),
+            list_confirmation: ListConfirmation::default(),
             queues: ShardQueues::default(),
             volumes: VolumeTable::default(),
             requests: BTreeMap::new(),
@@ -148,6 +151,9 @@
     /// Applies an update of the endpoint list, or schedules the next poll if the poll or watch
     /// failed.
     fn on_endpoint_list(&mut self, event: EndpointListEvent, endpoints: &[Endpoint]) {
+        if self.list_confirmation.record(event) {
+            self.actions.push(Action::AcceptClients);
+        }
         match event {
             EndpointListEvent::PollFailed => {
                 self.polling.record_failed_poll(self.now);
@@ -158,7 +164,7 @@
                 return;
             }
             EndpointListEvent::Snapshot | EndpointListEvent::Delta => self.polling.record_update(),
-            EndpointListEvent::Cached => {}
+            EndpointListEvent::Cached | EndpointListEvent::Unconfirmed => {}
         }
         self.nodes.apply(event, endpoints);
         for endpoint in endpoints {
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -21,6 +21,9 @@
         for id in std::mem::take(&mut self.unroutable) {
             self.enqueue(id, Position::ByPriority);
         }
+        if !self.list_confirmation.allows_dispatch() {
+            return;
+        }
         let backlogged: Vec<Shard> = self.queues.backlogged().collect();
         for shard in backlogged {
             self.dispatch_from(shard);
--- a/crates/scheduler/tests/endpoints.rs
+++ b/crates/scheduler/tests/endpoints.rs
@@ -6,7 +6,7 @@
     attempt, attempt_completed, default_settings, delta, dispatched_attempts, endpoint,
     rejected_requests, snapshot, SchedulerHarness, MILLISECOND, SECOND,
 };
-use io_scheduler::{EndpointStatus, Event, Outcome, Shard};
+use io_scheduler::{Action, EndpointListEvent, EndpointStatus, Event, Outcome, Shard};
 
 #[test]
 fn request_for_an_unlisted_node_is_pending_until_the_node_is_listed_or_the_deadline_passes() {
@@ -56,3 +56,20 @@
         [attempt(0, 7)]
     );
 }
+
+/// A node of the cached list may have started to drain while the host was down.
+#[test]
+fn unconfirmed_list_is_not_used_before_an_update_or_a_failed_poll() {
+    for event in [EndpointListEvent::Delta, EndpointListEvent::PollFailed] {
+        let mut harness = SchedulerHarness::new(default_settings(), 0);
+        let cached = vec![endpoint(0, EndpointStatus::InService, None)];
+        harness.handle(&[Event::EndpointList(EndpointListEvent::Unconfirmed, cached)]);
+        let request = harness.request(Some(0));
+        let actions = harness.handle_at(SECOND, &[Event::RequestReceived(request)]);
+        assert!(dispatched_attempts(&actions).is_empty());
+        assert!(!actions.contains(&Action::AcceptClients));
+        let actions = harness.handle(&[Event::EndpointList(event, vec![])]);
+        assert_eq!(dispatched_attempts(&actions), [attempt(0, 0)]);
+        assert!(actions.contains(&Action::AcceptClients));
+    }
+}
--- a/crates/simulator-adapter/src/instance/encode.rs
+++ b/crates/simulator-adapter/src/instance/encode.rs
@@ -21,8 +21,8 @@
             } => self.encode_rejection(request, retry_after),
             Action::Fail(request) => self.encode_failure(request),
             Action::Cancel { request, attempt } => self.encode_cancellation(request, attempt),
-            // The simulator requests no shutdown, so there are no clients to close.
-            Action::CloseClients => None,
+            // The simulator's lists are never unconfirmed, and it requests no shutdown.
+            Action::AcceptClients | Action::CloseClients => None,
             Action::OpenWatch => Some(ActionMessage::OpenWatch { open: true }),
             Action::SetTimer(at) => Some(encode_timer(at, now)),
         }
