Start no write to a draining node that the grace may not cover

Callers would see: a request goes to a draining node after the drain grace of 250 ms and the 50 ms of the protocol.

Cause: three uses of a time or an order that a held-up process does not keep.

Change: the write deadline is 300 ms, two holds, before the end of the grace, so none at all with a grace of 250 ms. It is checked against the actual time until the first byte is sent, and so is the timeout of the attempt, whose rest is what the node is told. In a turn, updates of the list and closes of clients are handled before anything else.

Class of the fault: a check whose time or order no longer holds when its result is used.

--- a/crates/gateway/src/connections/node/attempts.rs
+++ b/crates/gateway/src/connections/node/attempts.rs
@@ -115,8 +115,11 @@
     /// Encodes the request of a connection if the connection is ready, writes its pending output,
     /// and returns it to its pool if it has no attempt.
     pub(super) fn write_pending(&mut self, mut connection: NodeConnection, context: &mut Context) {
-        if connection.is_ready() {
-            self.write_request(&mut connection, context);
+        if connection.is_ready() && connection.has_unsent_request() {
+            if let Err(cause) = check_write(&connection, context) {
+                return self.abort_before_write(connection, cause, context);
+            }
+            encode_request(&mut connection, context);
         }
         let flushed = connection.flush();
         if let Some(attempt) = connection.mark_may_have_executed() {
@@ -134,26 +137,57 @@
         self.return_to_pool(connection, context);
     }
 
-    /// Encodes the request of a connection's attempt, unless that was done before. If the node has
-    /// been draining for too long to be sent a new request, the attempt is aborted instead and the
-    /// connection is left without an attempt.
-    fn write_request(&mut self, connection: &mut NodeConnection, context: &mut Context) {
-        let Some(in_flight) = &connection.in_flight else {
-            return;
+    /// Aborts an attempt of whose request no byte has been sent. The connection is closed if the
+    /// request is in its output buffer, and returned to its pool otherwise.
+    fn abort_before_write(
+        &mut self,
+        mut connection: NodeConnection,
+        cause: AbortCause,
+        context: &mut Context,
+    ) {
+        let Some(in_flight) = connection.in_flight.take() else {
+            return self.store(connection);
         };
-        if in_flight.is_encoded() {
-            return;
-        }
-        if context.dispatcher.may_write(connection.node, context.now) {
-            log_write(in_flight, context);
-            return connection.encode_request(context.now, &mut context.timers);
-        }
         let attempt = in_flight.attempt.id;
-        connection.in_flight = None;
         self.attempt_connections.remove(&attempt);
+        if in_flight.is_encoded() {
+            self.drop_connection(connection, context);
+        } else {
+            self.write_pending(connection, context);
+        }
         // The scheduler counts this as a fault of the node, like a refused connection.
-        context.abort_attempt(attempt, AbortCause::WriteDeadlinePassed);
+        context.abort_attempt(attempt, cause);
+    }
+}
+
+/// Returns why the request of a connection's attempt must not be written now, if there is a reason:
+/// its node has been draining for too long, or the attempt has timed out. The turn may have been
+/// held up, so the actual time counts.
+fn check_write(connection: &NodeConnection, context: &Context) -> Result<(), AbortCause> {
+    let Some(in_flight) = &connection.in_flight else {
+        return Ok(());
+    };
+    let now = context.clock_time();
+    if !context.dispatcher.may_write(connection.node, now) {
+        return Err(AbortCause::WriteDeadlinePassed);
+    }
+    if in_flight.attempt.times_out_at <= now {
+        return Err(AbortCause::TimedOut);
+    }
+    Ok(())
+}
+
+/// Encodes the request of a connection's attempt, unless that was done before.
+fn encode_request(connection: &mut NodeConnection, context: &mut Context) {
+    let Some(in_flight) = &connection.in_flight else {
+        return;
+    };
+    if in_flight.is_encoded() {
+        return;
     }
+    log_write(in_flight, context);
+    let now = context.clock_time();
+    connection.encode_request(now, &mut context.timers);
 }
 
 /// Logs that the request of an attempt is written now, with the delay since its dispatch and the
--- a/crates/gateway/src/connections/node/connection.rs
+++ b/crates/gateway/src/connections/node/connection.rs
@@ -61,6 +61,9 @@
 pub(super) struct InFlightAttempt {
     /// The parameters of the attempt.
     pub(super) attempt: AttemptSpec,
+    /// Offset of the request in the connection's output stream, in bytes. `None` until the request
+    /// is encoded.
+    start_offset: Option<u64>,
     /// Offset in the connection's output stream, in bytes. Once [`Socket::bytes_sent`] exceeds it,
     /// the node may have executed the request. `None` until the request is encoded.
     execution_offset: Option<u64>,
@@ -76,6 +79,7 @@
     pub(super) fn new(attempt: AttemptSpec, now: Micros) -> InFlightAttempt {
         InFlightAttempt {
             attempt,
+            start_offset: None,
             execution_offset: None,
             may_have_executed: false,
             started_at: now,
@@ -188,6 +192,14 @@
         result
     }
 
+    /// Returns whether the connection has an attempt of whose request no byte has been sent.
+    pub(super) fn has_unsent_request(&self) -> bool {
+        self.in_flight.as_ref().is_some_and(|in_flight| {
+            let start_offset = in_flight.start_offset;
+            start_offset.is_none_or(|offset| self.socket.bytes_sent <= offset)
+        })
+    }
+
     /// Encodes the request of the attempt into the output buffer. Cancels the connection's timer
     /// (connect or idle timeout), because from now on the timeout of the attempt applies.
     pub(super) fn encode_request(&mut self, now: Micros, timers: &mut TimerQueue) {
@@ -201,6 +213,7 @@
         let bytes_before_execution =
             self.protocol
                 .encode_request(&attempt.request, wait_ms, output);
+        in_flight.start_offset = Some(start_offset);
         in_flight.execution_offset = Some(start_offset + bytes_before_execution as u64);
         self.timer.cancel(timers);
     }
--- a/crates/gateway/src/dispatcher/node_registry.rs
+++ b/crates/gateway/src/dispatcher/node_registry.rs
@@ -1,20 +1,21 @@
 //! The storage nodes of the endpoint list: their ids, their state and their write deadlines.
 //!
 //! A node that goes out of service gets a write deadline: the gateway must not start to write an
-//! attempt to the node at or after this time. The deadline is shortly before the end of the drain
-//! grace period, in which the gateway may still send requests to the node. The period starts with
-//! the first endpoint list that shows the node out of service.
+//! attempt to the node at or after this time. The deadline is before the end of the drain grace
+//! period, in which the gateway may still send requests to the node. The period starts when
+//! discovery sends the first endpoint list that shows the node out of service.
 
 use super::node_state::NodeState;
 use crate::endpoint::EndpointRecord;
 use io_scheduler::{Endpoint, EndpointListEvent, EndpointStatus, Micros, NodeId, Units, Zone};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// The write deadline of a draining node is this long before the end of its drain grace period,
-/// in microseconds, because an attempt that is written later reaches the node too late.
-const DRAIN_SAFETY_MARGIN: Micros = 30_000;
-/// The safety margin is at most the drain grace period divided by this.
-const SAFETY_MARGIN_DIVISOR: Micros = 2;
+/// How long the process may be held up at any point, in microseconds.
+const MAX_HOLD: Micros = 150_000;
+/// The write deadline of a draining node is this long before the end of its drain grace period, in
+/// microseconds: the process may be held up before it handles the endpoint list, and again between
+/// the check of the write deadline and the write.
+const DRAIN_SAFETY_MARGIN: Micros = 2 * MAX_HOLD;
 
 /// The listed nodes, and removed nodes with attempts in flight.
 #[derive(Debug)]
@@ -178,8 +179,7 @@
 
     /// Sets or clears the write deadline of every node according to its status.
     fn update_write_deadlines(&mut self, now: Micros) {
-        let margin = DRAIN_SAFETY_MARGIN.min(self.drain_grace / SAFETY_MARGIN_DIVISOR);
-        let deadline = now + self.drain_grace - margin;
+        let deadline = now + (self.drain_grace - DRAIN_SAFETY_MARGIN).max(0);
         for node in self.nodes.values_mut() {
             node.update_write_deadline(deadline);
         }
--- a/crates/gateway/src/event_loop/turn.rs
+++ b/crates/gateway/src/event_loop/turn.rs
@@ -4,13 +4,37 @@
 use super::gateway::Gateway;
 use super::turn_statistics::TurnWork;
 use crate::connection_token::ConnectionToken;
+use crate::context::DescriptorKind;
 use crate::dispatcher::Command;
 use io_scheduler::Micros;
-use rustix::event::epoll::Event;
+use rustix::event::epoll::{Event, EventFlags};
 
 /// Maximum number of poller events that are handled in one turn.
 const MAX_EVENTS_PER_TURN: usize = 256;
 
+/// The order in which the ready descriptors of a turn are handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EventPriority {
+    /// The discovery watch.
+    Discovery,
+    /// A client connection that has ended.
+    ClientClose,
+    /// Everything else, in the order of the poller.
+    Other,
+}
+
+impl EventPriority {
+    /// Returns the priority of an event of a descriptor of this kind.
+    fn of(kind: Option<DescriptorKind>, flags: EventFlags) -> EventPriority {
+        let is_end = flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
+        match kind {
+            Some(DescriptorKind::Discovery) => EventPriority::Discovery,
+            Some(DescriptorKind::Client) if is_end => EventPriority::ClientClose,
+            _ => EventPriority::Other,
+        }
+    }
+}
+
 impl Gateway {
     /// Runs the event loop until a graceful shutdown is complete.
     ///
@@ -47,6 +71,25 @@
         Some(self.context.time_until(next))
     }
 
+    /// Handles the ready descriptors. Notifications that forbid an attempt come first, in whatever
+    /// order the poller reports them: endpoint lists, then the closes of clients.
+    fn handle_events(&mut self, events: &[Event]) {
+        let priority = |event: &Event| {
+            let token = ConnectionToken::from(event.data.u64());
+            EventPriority::of(self.context.descriptor_kind(token), event.flags)
+        };
+        let mut ordered: Vec<(EventPriority, &Event)> = events
+            .iter()
+            .map(|event| (priority(event), event))
+            .collect();
+        ordered.sort_by_key(|(priority, _)| *priority);
+        for (_, event) in ordered {
+            let flags = event.flags;
+            let token = ConnectionToken::from(event.data.u64());
+            self.handle_ready(token, flags);
+        }
+    }
+
     /// Runs one turn: handles ready connections and expired timers, calls the scheduler with the
     /// resulting events, runs the commands of the dispatcher, and closes excess client connections.
     /// `commands` is a reused buffer, empty between turns. Returns what was handled.
@@ -55,11 +98,7 @@
             events: events.len(),
             ..TurnWork::default()
         };
-        for event in events {
-            let flags = event.flags;
-            let token = ConnectionToken::from(event.data.u64());
-            self.handle_ready(token, flags);
-        }
+        self.handle_events(events);
         while let Some(timer) = self.context.timers.pop_expired(self.context.now) {
             self.handle_timer(timer);
             work.timers += 1;
