Let the scheduler answer before an overdue request is failed

Callers saw '-ERR timed out' for a read that they may repeat, in place of -BUSY with Retry-After.

Cause: a turn that begins more than 3 ms after a deadline finds the timeout of the attempt and RequestOverdue expired together. RequestOverdue answered at once, before the scheduler, which rejects such a request, was called in the same turn.

Change: RequestOverdue is applied after the scheduler was called in that turn, so it only catches what the scheduler leaves open.

--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -18,7 +18,12 @@
                 self.scheduler_timer = None;
                 self.events.push(Event::TimerFired);
             }
-            DispatcherTimer::RequestOverdue(id) => self.fail_overdue(id),
+            DispatcherTimer::RequestOverdue(id) => {
+                // The turn may be late, so that the scheduler has not been called since the
+                // deadline.
+                self.events.push(Event::TimerFired);
+                self.overdue.push(id);
+            }
         }
     }
 
@@ -44,6 +49,9 @@
         if !self.events.is_empty() {
             self.call_scheduler(now, timers);
         }
+        for id in std::mem::take(&mut self.overdue) {
+            self.fail_overdue(id);
+        }
         commands.append(&mut self.commands);
     }
 
--- a/crates/gateway/src/dispatcher/state.rs
+++ b/crates/gateway/src/dispatcher/state.rs
@@ -6,7 +6,7 @@
 use super::volume_counters::{VolumeCounterTable, VolumeCounters};
 use crate::memory_budget::MemoryBudget;
 use deployment_settings::{micros, DeploymentSettings, UnknownValue};
-use io_scheduler::{Action, Event, Micros, Scheduler, StateSizes, VolumeId};
+use io_scheduler::{Action, Event, Micros, RequestId, Scheduler, StateSizes, VolumeId};
 use std::collections::BTreeMap;
 
 /// Connects clients, nodes and the scheduler; see the [module](super).
@@ -21,6 +21,9 @@
     pub(super) volume_counters: VolumeCounterTable,
     /// Events for the next call of the scheduler.
     pub(super) events: Vec<Event>,
+    /// Requests whose deadline has passed without a final response; the next call of the scheduler
+    /// may still give them one.
+    pub(super) overdue: Vec<RequestId>,
     /// Buffer for the scheduler's actions, kept to reuse its allocation; empty between calls.
     pub(super) actions: Vec<Action>,
     /// Commands that the event loop has not taken yet.
@@ -49,6 +52,7 @@
             nodes: NodeRegistry::new(settings.zones.clone(), drain_grace),
             volume_counters: VolumeCounterTable::default(),
             events: Vec::new(),
+            overdue: Vec::new(),
             actions: Vec::new(),
             commands: Vec::new(),
             scheduler_timer: None,
--- a/crates/gateway/tests/gateway_process/races/node_connections.rs
+++ b/crates/gateway/tests/gateway_process/races/node_connections.rs
@@ -118,6 +118,24 @@
     serve_request(&mut node, &mut client, "a2", "two");
 }
 
+/// The gateway is held up from before the deadline of the request until well after it. The client
+/// may repeat the read, so it gets a rejection and not a failure.
+#[test]
+fn request_is_rejected_if_the_gateway_is_held_up_at_its_deadline() {
+    let cluster = TestCluster::start();
+    let sent_at = Instant::now();
+    let mut client = cluster
+        .gateway
+        .connect_and_send(encode_read_request_with_deadline("a1", 400));
+    let _node = cluster.node_a.accept_request("a1");
+
+    cluster.gateway.pause();
+    wait_until(sent_at + Duration::from_millis(500));
+    cluster.gateway.resume();
+
+    client.expect_busy();
+}
+
 /// The connection to a draining node is established only after the drain grace period, in which the
 /// gateway may still send to the node. The request must be rejected instead of sent.
 #[test]
