Wait between tries to accept during a shortage, and skip failed connections

Operators would see: one core busy and a warning in every turn while descriptors or memory are short.

Cause: when a connection could not be accepted and none could be evicted, accepting was paused on all listeners but the one at hand, which the poller reports again at once. Any error but EAGAIN and ECONNABORTED counted as such, also EINTR and the errors of the connection that accept reports, which has then left the queue.

Change: all listeners pause for 20 ms; only the errors of a local shortage pause, the others go on to the next connection.

--- a/crates/gateway/src/connections/client/accept.rs
+++ b/crates/gateway/src/connections/client/accept.rs
@@ -5,7 +5,7 @@
 use crate::client_protocol::resp::RespProtocol;
 use crate::client_protocol::sftp::SftpProtocol;
 use crate::client_protocol::ClientProtocol;
-use crate::connections::descriptors::is_out_of_descriptors;
+use crate::connections::descriptors::{is_local_shortage, is_out_of_descriptors};
 use crate::connections::listener::{Listener, ListenerProtocol};
 use crate::connections::socket::{Interest, Socket};
 use crate::context::{Context, DescriptorKind};
@@ -24,8 +24,8 @@
     /// The accept queue is empty, or the limits for this turn have been reached.
     Done,
     /// Accepting failed or the limit on client connections is reached, and no connection was
-    /// evicted. The caller pauses the other listeners; see
-    /// [`Listeners::pause_all_except`](crate::connections::listener::Listeners::pause_all_except).
+    /// evicted. The caller pauses all listeners; see
+    /// [`Listeners::pause_briefly`](crate::connections::listener::Listeners::pause_briefly).
     Blocked,
 }
 
@@ -69,9 +69,15 @@
     ) -> ControlFlow<AcceptOutcome> {
         match error.kind() {
             io::ErrorKind::WouldBlock => return ControlFlow::Break(AcceptOutcome::Done),
-            io::ErrorKind::ConnectionAborted => return ControlFlow::Continue(()),
+            io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => {
+                return ControlFlow::Continue(());
+            }
             _ => log::warn!("cannot accept a client connection: {error}"),
         }
+        if !is_local_shortage(error) {
+            // An error of the connection that was next in the queue, which has left it.
+            return ControlFlow::Continue(());
+        }
         // The listener stays ready as long as a connection is in its accept queue. Evicting an idle
         // connection frees a descriptor for the waiting connection.
         if is_out_of_descriptors(error) && self.evict_one(context) {
--- a/crates/gateway/src/connections/descriptors.rs
+++ b/crates/gateway/src/connections/descriptors.rs
@@ -39,11 +39,34 @@
     }
 }
 
+/// Errors of `accept`, `socket` and `connect` that tell of a shortage on this host and nothing of
+/// the peer.
+const LOCAL_SHORTAGES: [Errno; 8] = [
+    Errno::MFILE,
+    Errno::NFILE,
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::ADDRNOTAVAIL,
+    Errno::NETUNREACH,
+    Errno::NETDOWN,
+    Errno::AGAIN,
+];
+
+/// Returns whether a system call failed because of a shortage on this host.
+pub(crate) fn is_local_shortage(error: &io::Error) -> bool {
+    is_one_of(error, &LOCAL_SHORTAGES)
+}
+
 /// Returns whether a system call failed because the process or the system has run out of file
 /// descriptors.
 pub(crate) fn is_out_of_descriptors(error: &io::Error) -> bool {
+    is_one_of(error, &[Errno::MFILE, Errno::NFILE])
+}
+
+/// Returns whether the error has one of these codes.
+fn is_one_of(error: &io::Error, errnos: &[Errno]) -> bool {
     let code = error.raw_os_error();
-    [Errno::MFILE, Errno::NFILE]
+    errnos
         .iter()
         .any(|errno| Some(errno.raw_os_error()) == code)
 }
--- a/crates/gateway/src/connections/listener.rs
+++ b/crates/gateway/src/connections/listener.rs
@@ -12,8 +12,8 @@
 /// connect at once. The kernel drops connection attempts that exceed the queue, and a client
 /// retries a dropped attempt only after a second.
 const ACCEPT_BACKLOG: i32 = 1024;
-/// How long, in microseconds, accepting pauses on the other listeners after a connection could not
-/// be accepted and there was no idle connection to close for it.
+/// How long, in microseconds, accepting pauses after a connection could not be accepted and there
+/// was no idle connection to close for it.
 const ACCEPT_PAUSE: Micros = 20_000;
 
 /// The protocol that the clients of a listener use.
@@ -97,15 +97,10 @@
             .find(|listener| listener.token == token)
     }
 
-    /// Stops accepting for [`ACCEPT_PAUSE`] on all listeners except `handled`, the one that is
-    /// being handled. The poller reports `handled` as long as a connection is in its accept queue,
-    /// so accepting on it is tried again in every turn.
-    pub(crate) fn pause_all_except(&self, handled: ConnectionToken, context: &mut Context) {
-        for listener in &self.listeners {
-            if listener.token != handled {
-                set_events(listener, EventFlags::empty(), context);
-            }
-        }
+    /// Stops accepting on all listeners for [`ACCEPT_PAUSE`]. The poller reports a listener as long
+    /// as a connection is in its accept queue, so without the pause the event loop would not wait.
+    pub(crate) fn pause_briefly(&self, context: &mut Context) {
+        self.pause_all(context);
         context
             .timers
             .set(context.now + ACCEPT_PAUSE, Timer::ResumeAccepting);
--- a/crates/gateway/src/event_loop/events.rs
+++ b/crates/gateway/src/event_loop/events.rs
@@ -38,7 +38,7 @@
         };
         match self.client_connections.accept(listener, context) {
             AcceptOutcome::Done => {}
-            AcceptOutcome::Blocked => self.listeners.pause_all_except(token, context),
+            AcceptOutcome::Blocked => self.listeners.pause_briefly(context),
         }
     }
 
--- a/crates/gateway/tests/gateway_process/harness/gateway.rs
+++ b/crates/gateway/tests/gateway_process/harness/gateway.rs
@@ -151,6 +151,16 @@
         self.process.resume();
     }
 
+    /// Sets the limit on open descriptors of the running process; `None` allows no further one.
+    pub fn limit_descriptors(&self, limit: Option<u64>) {
+        self.process.limit_descriptors(limit);
+    }
+
+    /// Returns the processor time that the process has used, in clock ticks of 10 ms.
+    pub fn processor_ticks(&self) -> u64 {
+        self.process.processor_ticks()
+    }
+
     /// Sends SIGTERM and returns at once; the gateway may be paused.
     pub fn send_sigterm(&self) {
         self.process.send_signal(Signal::TERM);
--- a/crates/gateway/tests/gateway_process/harness/gateway_process.rs
+++ b/crates/gateway/tests/gateway_process/harness/gateway_process.rs
@@ -1,7 +1,10 @@
 //! A gateway as a child process: its log, signals and exit status.
 
 use super::{log_lines, TEST_TIMEOUT};
-use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
+use rustix::process::{
+    getrlimit, kill_process, prlimit, waitpid, Pid, Resource, Rlimit, Signal, WaitOptions,
+};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, ChildStdin, ChildStdout, Command, ExitStatus, Stdio};
@@ -98,6 +101,45 @@
         kill_process(self.pid, signal).expect("the process should be running");
     }
 
+    /// Sets the limit on open descriptors of the running process; `None` sets it so that no further
+    /// one can be opened.
+    pub fn limit_descriptors(&self, limit: Option<u64>) {
+        let limit = limit.unwrap_or_else(|| self.lowest_free_descriptor());
+        let limits = Rlimit {
+            current: Some(limit),
+            ..getrlimit(Resource::Nofile)
+        };
+        prlimit(Some(self.pid), Resource::Nofile, limits)
+            .expect("setting a limit of a child process should succeed");
+    }
+
+    /// Returns the lowest descriptor that is not open, which the system uses next.
+    fn lowest_free_descriptor(&self) -> u64 {
+        let path = format!("/proc/{}/fd", self.pid.as_raw_nonzero());
+        let entries = std::fs::read_dir(path).expect("the process should be running");
+        let open: BTreeSet<u64> = entries
+            .filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok())
+            .collect();
+        (0..)
+            .find(|number| !open.contains(number))
+            .expect("a number should be free")
+    }
+
+    /// Returns the processor time that the process has used, in clock ticks of 10 ms.
+    pub fn processor_ticks(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.pid.as_raw_nonzero());
+        let stat = std::fs::read_to_string(path).expect("the process should be running");
+        // The fields after the name of the program, which is in parentheses; the 12th and 13th are
+        // the times in user and system mode.
+        let (_, fields) = stat
+            .rsplit_once(')')
+            .expect("the name should be in parentheses");
+        let times = fields.split_whitespace().skip(11).take(2);
+        times
+            .map(|time| time.parse::<u64>().expect("a time should be a number"))
+            .sum()
+    }
+
     /// Pauses the process with SIGSTOP until [`Self::resume`], and waits until it is stopped.
     pub fn pause(&self) {
         self.send_signal(Signal::STOP);
--- a/crates/gateway/tests/gateway_process/races/mod.rs
+++ b/crates/gateway/tests/gateway_process/races/mod.rs
@@ -5,6 +5,7 @@
 mod client_close;
 mod discovery_watch;
 mod idle_close;
+mod local_shortage;
 mod node_connections;
 mod reload;
 mod shutdown;
