Count no fault of a node for a shortage in the gateway

Callers would see: after a shortage of descriptors, ports or memory in the gateway its nodes are ejected and get one trial request at a time.

Cause: every failure to open a connection ended the attempt as ConnectFailed, which counts towards the ejection of the node; the gateway's own limit on connections and EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN and EAGAIN tell nothing of the node.

--- a/crates/gateway/src/connections/node/attempts.rs
+++ b/crates/gateway/src/connections/node/attempts.rs
@@ -22,9 +22,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 log::debug!("node {}: cannot open a connection: {error}", attempt.node.0);
-                // The scheduler counts this as a fault of the node, even if the gateway itself has
-                // reached a limit on connections.
-                return context.abort_attempt(attempt.id, AbortCause::NoConnection);
+                return context.abort_attempt(attempt.id, error.abort_cause());
             }
         };
         self.attempt_connections
--- a/crates/gateway/src/connections/node/open.rs
+++ b/crates/gateway/src/connections/node/open.rs
@@ -3,9 +3,10 @@
 use super::connection::NodeConnection;
 use super::node_connections::NodeConnections;
 use super::pool::NodeAddress;
-use crate::connections::descriptors::is_out_of_descriptors;
+use crate::connections::descriptors::{is_local_shortage, is_out_of_descriptors};
 use crate::connections::socket::{start_connecting, Interest, Socket};
 use crate::context::{Context, DescriptorKind};
+use crate::dispatcher::AbortCause;
 use deployment_settings::micros;
 use io_scheduler::{Micros, NodeId};
 use std::io;
@@ -35,6 +36,19 @@
     System(#[from] io::Error),
 }
 
+impl OpenError {
+    /// Returns why the attempt that needed the connection is aborted.
+    pub(super) fn abort_cause(&self) -> AbortCause {
+        match self {
+            OpenError::TooManyConnections => AbortCause::LocalShortage,
+            OpenError::System(error) if is_local_shortage(error) => AbortCause::LocalShortage,
+            OpenError::NotListed | OpenError::NoAddress | OpenError::System(_) => {
+                AbortCause::NoConnection
+            }
+        }
+    }
+}
+
 impl NodeConnections {
     /// Starts to open a connection to a node. The caller assigns an attempt to the connection
     /// before it is established.
--- a/crates/gateway/src/dispatcher/abort_cause.rs
+++ b/crates/gateway/src/dispatcher/abort_cause.rs
@@ -5,6 +5,9 @@
 /// Why an attempt is aborted before it has a result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AbortCause {
+    /// No connection to the node could be opened because of a shortage on this host, such as of
+    /// descriptors. It tells nothing of the node.
+    LocalShortage,
     /// No connection to the node could be opened, or it was not established in time.
     NoConnection,
     /// The node went out of service, and its write deadline passed before the gateway started to
@@ -23,11 +26,12 @@
 impl AbortCause {
     /// Returns the outcome to report to the scheduler.
     ///
-    /// If the node cannot have executed the request, a cancellation is reported as
-    /// [`Outcome::NotDispatched`], because it is no fault of the node, and every other cause as
-    /// [`Outcome::ConnectFailed`].
+    /// If the node cannot have executed the request, a cancellation or a shortage on this host is
+    /// reported as [`Outcome::NotDispatched`], because it is no fault of the node, and every other
+    /// cause as [`Outcome::ConnectFailed`].
     pub(super) fn outcome(self, may_have_executed: bool) -> Outcome {
         match self {
+            AbortCause::LocalShortage => Outcome::NotDispatched,
             AbortCause::Cancelled if !may_have_executed => Outcome::NotDispatched,
             _ if !may_have_executed => Outcome::ConnectFailed,
             AbortCause::NoConnection | AbortCause::WriteDeadlinePassed => Outcome::ConnectFailed,
--- a/crates/gateway/tests/in_process/dispatcher/attempts.rs
+++ b/crates/gateway/tests/in_process/dispatcher/attempts.rs
@@ -58,3 +58,26 @@
         1
     );
 }
+
+/// More failed connects than eject a node that is at fault. A shortage in the gateway tells nothing
+/// of the node: each request is rejected at once, and the next one is dispatched without a wait.
+#[test]
+fn shortage_of_the_gateway_does_not_eject_a_node() {
+    let records = [
+        in_service_record("a", 0),
+        in_service_record("b", 1),
+        in_service_record("c", 2),
+    ];
+    let mut harness = Harness::new(&deployment_settings(), &records);
+    for _ in 0..5 {
+        harness.submit(Operation::Read, Some(0));
+        harness.run_turn();
+        let started = harness.take_started_attempts();
+        assert_eq!(started.len(), 1, "the request must be dispatched at once");
+        harness.abort(started[0].id, AbortCause::LocalShortage);
+        harness.run_turn();
+        let responses = harness.take_responses();
+        assert_eq!(responses.len(), 1);
+        assert!(matches!(responses[0].response, Response::Rejected { .. }));
+    }
+}
