Send on open connections without a pause in the soak, and force the two breaks of the incident

Clients now ask only before a process is known to be ready, one client of each gateway sends without waiting for replies, nodes hang across shutdowns, and a scenario kills gateways of a large deployment before a drain and starts them when it is nearly 6 s old.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,11 @@
 const FIRST_FAULT: Duration = Duration::from_millis(1_500);
 /// Storage nodes of a run.
 pub const NODE_COUNT: usize = 4;
+/// Number of gateways of a large deployment.
+const LARGE_FLEET: usize = 100;
+/// How long before SIGTERM nodes begin to hang, and how long they do.
+const HANG_AT_SHUTDOWN: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(5_000));
 /// The longest hold of a process.
 const MAX_HOLD_MS: u64 = 150;
 
@@ -137,8 +142,11 @@
 pub struct Plan {
     /// The seed.
     pub seed: u64,
-    /// Number of gateways.
+    /// Number of gateways that run.
     pub gateways: usize,
+    /// Number of gateways of the deployment, as its settings state it. Gateways of a large
+    /// deployment spread their polls of discovery.
+    pub fleet_size: usize,
     /// How long the longest deadline of the deployment is, in milliseconds.
     pub longest_timeout_ms: u64,
     /// Whether clients behave irregularly.
@@ -163,6 +171,11 @@
     let mut random = StdRng::seed_from_u64(seed);
     let gateways = random.random_range(3..=5);
     let longest_timeout_ms = [600, 1_200, 2_000, 4_000][random.random_range(0..4)];
+    let fleet_size = if scenario == Scenario::Restart {
+        LARGE_FLEET
+    } else {
+        gateways
+    };
     let mut planner = Planner {
         random,
         gateways,
@@ -178,6 +191,7 @@
     Plan {
         seed,
         gateways,
+        fleet_size,
         longest_timeout_ms,
         has_irregular_clients: !without.contains(&FaultClass::Clients),
         steps: planner.steps,
@@ -247,7 +261,11 @@
 
     /// Nodes drain, most are removed, and some return.
     fn add_drains(&mut self, scenario: Scenario) {
-        let drains = if scenario == Scenario::Drain { 6 } else { 3 };
+        let drains = match scenario {
+            Scenario::Drain => 6,
+            Scenario::Mixed | Scenario::Shutdown => 3,
+            Scenario::Restart => 0,
+        };
         for _ in 0..drains {
             let node = self.random.random_range(0..NODE_COUNT);
             let at = self.time(Duration::from_millis(3_000));
@@ -277,16 +295,42 @@
         }
     }
 
+    /// Two nodes hang from shortly before a shutdown until after the kill.
+    fn add_hangs_at_shutdown(&mut self, at: Duration) {
+        let (lead, duration) = HANG_AT_SHUTDOWN;
+        let began_at = at.saturating_sub(lead);
+        for _ in 0..2 {
+            let node = self.random.random_range(0..NODE_COUNT);
+            let mode = NodeMode::Hang;
+            self.add(began_at, Action::SetNodeMode { node, mode });
+            let mode = NodeMode::Serve;
+            self.add(began_at + duration, Action::SetNodeMode { node, mode });
+        }
+    }
+
+    /// A gateway is killed, and nodes begin to drain while it is down. It starts again when the
+    /// drains are nearly as old as the longest delay of a notification.
+    fn add_kill_before_drains(&mut self, gateway: GatewayIndex) {
+        let at = FIRST_FAULT + self.span(0..1_500);
+        let down_ms = self.random.random_range(3_500..5_000);
+        self.add(at, Action::Kill { gateway, down_ms });
+        let node = self.random.random_range(0..NODE_COUNT);
+        let drained_at = at + self.span(50..300);
+        self.add(drained_at, Action::Drain { node });
+    }
+
     /// Gateways get signals. Each gateway is shut down or killed at most once.
     fn add_signals(&mut self, scenario: Scenario) {
         for gateway in 0..self.gateways {
+            if scenario == Scenario::Restart {
+                self.add_kill_before_drains(gateway);
+                continue;
+            }
             let at = self.time(Duration::from_millis(5_500));
-            let is_shut_down = match scenario {
-                Scenario::Shutdown => true,
-                Scenario::Restart => false,
-                Scenario::Mixed | Scenario::Drain => self.random.random_bool(0.5),
-            };
-            if is_shut_down {
+            if scenario == Scenario::Shutdown || self.random.random_bool(0.5) {
+                if scenario == Scenario::Shutdown {
+                    self.add_hangs_at_shutdown(at);
+                }
                 self.add(at, Action::ShutDown { gateway });
                 if self.random.random_bool(0.3) {
                     let again_at = at + self.span(10..700);
@@ -300,6 +344,9 @@
         let gateway = self.random.random_range(0..self.gateways);
         let at = self.time(Duration::from_millis(1_000));
         self.add(at, Action::Reload { gateway });
+        if self.random.random_bool(0.5) {
+            self.add_hangs_at_shutdown(RUN_TIME);
+        }
     }
 
     /// Processes are held up.
--- a/crates/soak/src/rig/client.rs
+++ b/crates/soak/src/rig/client.rs
@@ -1,6 +1,6 @@
 //! Clients: they send requests on connections that they keep, and record the replies.
 
-use super::gateway::SharedAddress;
+use super::gateway::{GatewayAddress, SharedAddress};
 use super::resp::{StreamDecoder, Value};
 use super::storage_node::is_timeout;
 use super::wire::{value_for, RequestText};
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::PoisonError;
 use std::thread::{self, JoinHandle};
@@ -41,6 +41,8 @@
     number: usize,
     /// Number of requests sent so far.
     sent: u64,
+    /// Where the gateway listens.
+    address: SharedAddress,
     /// The plan.
     plan: Plan,
     /// Source of all choices.
@@ -81,13 +83,14 @@
         gateway,
         number,
         sent: 0,
+        address,
         plan: plan.clone(),
         random: StdRng::seed_from_u64(seed),
         shared: shared.clone(),
     };
     thread::spawn(move || {
         while !client.shared.is_over() {
-            let current = *address.lock().unwrap_or_else(PoisonError::into_inner);
+            let current = client.current_address();
             if let Some(current) = current {
                 client.use_connection(current);
             }
@@ -97,9 +100,14 @@
 }
 
 impl Client {
+    /// Returns where the gateway listens; `None` while it is down.
+    fn current_address(&self) -> Option<GatewayAddress> {
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Connects, and sends requests until the connection ends.
-    fn use_connection(&mut self, address: SocketAddr) {
-        let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) else {
+    fn use_connection(&mut self, gateway: GatewayAddress) {
+        let Ok(stream) = TcpStream::connect_timeout(&gateway.address, CONNECT_TIMEOUT) else {
             return;
         };
         let id = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
@@ -109,7 +117,13 @@
             decoder: StreamDecoder::default(),
         };
         let _ = connection.stream.set_nodelay(true);
-        let stop = match self.wait_until_ready(&mut connection) {
+        let ready = if gateway.is_ready {
+            Ok(())
+        } else {
+            self.wait_until_ready(&mut connection, gateway)
+        };
+        let stop = match ready {
+            Ok(()) if self.sends_continuously() => self.send_continuously(&mut connection),
             Ok(()) => self.send_batches(&mut connection),
             Err(stop) => stop,
         };
@@ -127,13 +141,74 @@
         self.shared.recorder.add(self.gateway, event);
     }
 
+    /// Returns whether the client does not wait for a reply before it sends the next request.
+    fn sends_continuously(&self) -> bool {
+        self.plan.has_irregular_clients && self.number == 0
+    }
+
+    /// Sends requests at intervals and receives the replies between them, so that the connection is
+    /// rarely idle, until it ends.
+    fn send_continuously(&mut self, connection: &mut ClientConnection) -> Stop {
+        let mut pending = VecDeque::new();
+        loop {
+            if self.shared.is_over() {
+                return Stop::Close;
+            }
+            let request = self.next_request();
+            if self.write_request(connection, &request).is_err() {
+                // Replies may have arrived before the connection ended.
+                let until = self.shared.recorder.now() + EXTRA_WAIT;
+                let ended = self.receive_until(connection, &mut pending, until);
+                return ended.err().unwrap_or(Stop::Ended);
+            }
+            pending.push_back((request, self.shared.recorder.now()));
+            let interval = Duration::from_millis(self.random.random_range(50..300));
+            let next_at = self.shared.recorder.now() + interval;
+            if let Err(stop) = self.receive_until(connection, &mut pending, next_at) {
+                return stop;
+            }
+        }
+    }
+
+    /// Receives the replies that arrive until a time of the run.
+    fn receive_until(
+        &mut self,
+        connection: &mut ClientConnection,
+        pending: &mut VecDeque<(RequestText, Duration)>,
+        next_at: Duration,
+    ) -> Result<(), Stop> {
+        while let Some((request, sent_at)) = pending.front() {
+            let due_at = *sent_at + request.timeout + EXTRA_WAIT;
+            match self.receive(connection, next_at) {
+                Ok(value) => {
+                    let reply = reply_kind(&value, &request.id);
+                    let request = request.id.clone();
+                    self.record(Event::ReplyReceived { request, reply });
+                    pending.pop_front();
+                }
+                Err(Stop::Close) if self.shared.recorder.now() < due_at => return Ok(()),
+                Err(stop) => return Err(stop),
+            }
+        }
+        self.shared.wait_until(next_at);
+        Ok(())
+    }
+
     /// Sends `PING` and waits for the reply.
-    fn wait_until_ready(&mut self, connection: &mut ClientConnection) -> Result<(), Stop> {
+    fn wait_until_ready(
+        &mut self,
+        connection: &mut ClientConnection,
+        gateway: GatewayAddress,
+    ) -> Result<(), Stop> {
         let ping = connection.stream.write_all(b"*1\r\n$4\r\nPING\r\n");
         ping.map_err(|_| Stop::Ended)?;
         let until = self.shared.recorder.now() + READY_WAIT;
         self.receive(connection, until)?;
         self.record(Event::Ready);
+        let mut address = self.address.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(current) = address.as_mut().filter(|current| **current == gateway) {
+            current.is_ready = true;
+        }
         Ok(())
     }
 
@@ -185,8 +260,13 @@
         batch: Vec<RequestText>,
     ) -> Result<(), Stop> {
         let mut pending = VecDeque::new();
+        let mut written = Ok(());
         for request in batch {
-            self.write_request(connection, &request)?;
+            written = self.write_request(connection, &request);
+            if written.is_err() {
+                // Replies may have arrived before the connection ended.
+                break;
+            }
             pending.push_back((request, self.shared.recorder.now()));
         }
         if self.plan.has_irregular_clients && self.random.random_bool(0.05) {
@@ -200,7 +280,7 @@
             let request = request.id;
             self.record(Event::ReplyReceived { request, reply });
         }
-        Ok(())
+        written
     }
 
     /// Writes a request, sometimes in pieces, and records when its last byte is written.
@@ -232,11 +312,7 @@
     }
 
     /// Waits for the next reply, until a time of the run.
-    fn receive(
-        &mut self,
-        connection: &mut ClientConnection,
-        until: Duration,
-    ) -> Result<Value, Stop> {
+    fn receive(&self, connection: &mut ClientConnection, until: Duration) -> Result<Value, Stop> {
         let mut bytes = [0; 4 << 10];
         loop {
             if let Some((value, _)) = connection.decoder.next() {
--- a/crates/soak/src/rig/config.rs
+++ b/crates/soak/src/rig/config.rs
@@ -12,7 +12,7 @@
     /// The number of the gateway.
     pub(super) index: usize,
     /// Number of gateways of the deployment.
-    pub(super) gateways: usize,
+    pub(super) fleet_size: usize,
     /// Number of shards.
     pub(super) shards: usize,
     /// The longest deadline of the classes, in milliseconds.
@@ -41,13 +41,13 @@
 
     /// Returns the settings of the deployment.
     fn settings(&self) -> String {
-        let gateways = self.gateways;
+        let fleet_size = self.fleet_size;
         let shards = self.shards;
         let deadline = self.longest_timeout_ms;
         let objective = deadline / 2;
         let grace = DRAIN_GRACE.as_millis();
         format!(
-            r#"{{"group_size":{gateways},"discovery":"subscribe","zones":["a"],
+            r#"{{"group_size":{fleet_size},"discovery":"subscribe","zones":["a"],
             "allowed":{{"max_attempts":3,"may_cancel":true,"conn_idle_ms":30000,"connect_timeout_ms":500}},
             "classes":[
               {{"name":"read","aim_ms":{objective},"deadline_ms":{deadline},"effect":"pure","group":"all","points":3,"late_value":0.1}},
--- a/crates/soak/src/rig/gateway.rs
+++ b/crates/soak/src/rig/gateway.rs
@@ -38,7 +38,16 @@
 }
 
 /// The address of a gateway; `None` while it is down.
-pub(super) type SharedAddress = Arc<Mutex<Option<SocketAddr>>>;
+pub(super) type SharedAddress = Arc<Mutex<Option<GatewayAddress>>>;
+
+/// Where a gateway listens, and whether it is known to be ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct GatewayAddress {
+    /// The address.
+    pub(super) address: SocketAddr,
+    /// Whether a client has received a reply.
+    pub(super) is_ready: bool,
+}
 
 /// What is done with a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -222,7 +231,7 @@
         }
         let config = GatewayConfig {
             index: self.index,
-            gateways: self.plan.gateways,
+            fleet_size: self.plan.fleet_size,
             shards: NODE_COUNT,
             longest_timeout_ms: self.plan.longest_timeout_ms,
             discovery: self.discovery.address(self.index),
@@ -254,7 +263,12 @@
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 if let Some((_, text)) = line.split_once(LISTENING) {
-                    *address.lock().unwrap_or_else(PoisonError::into_inner) = text.parse().ok();
+                    let parsed = text.parse().ok();
+                    *address.lock().unwrap_or_else(PoisonError::into_inner) =
+                        parsed.map(|address| GatewayAddress {
+                            address,
+                            is_ready: false,
+                        });
                 }
                 if let Some(file) = &mut file {
                     // The log is for a reader only; the run goes on without it.
