Queue late requests again when a shutdown changes their deadlines

Operators would see: a gateway that is shutting down panics, 'invariant: the selected request is the head of its flow' (flow.rs:125), and all its clients lose their connections.

Change: a queued request is removed from its queue before its deadline changes and queued again after that. Removing a request from its queue stood in close only; it is a function of its own now.

Evidence: late_request_that_is_queued_at_the_shutdown_is_dispatched_or_rejected_once panics with the same message without the change and passes with it. Class of the fault: a key that changes while it orders a container; no other code changes a deadline, and the times of rejection are removed and added around the change.

--- a/crates/scheduler/src/scheduler/completion.rs
+++ b/crates/scheduler/src/scheduler/completion.rs
@@ -6,7 +6,7 @@
 //! attempt in flight.
 
 use super::Scheduler;
-use crate::api::{Action, CompletedAttempt, NodeId, Outcome, RequestId, Units};
+use crate::api::{Action, CompletedAttempt, Micros, NodeId, Outcome, RequestId, Units};
 use crate::dmclock::Position;
 use crate::node::AttemptMeasurement;
 use crate::request::{Attempt, UnfinishedRequest};
@@ -114,13 +114,41 @@
     pub(super) fn on_shutdown_requested(&mut self) {
         let longest_timeout = self.settings.longest_client_timeout;
         let answer_by = self.shutdown.request(longest_timeout, self.now);
-        for unfinished in self.requests.values_mut() {
-            if unfinished.is_open() {
-                self.rejections.remove(unfinished);
-                unfinished.limit_deadline(answer_by);
-                self.rejections.add(unfinished);
-            }
+        let open = self.requests.values().filter(|request| request.is_open());
+        let open: Vec<RequestId> = open.map(|unfinished| unfinished.request().id).collect();
+        for id in open {
+            self.limit_deadline(id, answer_by);
+        }
+    }
+
+    /// Limits the deadline of an open request. A queued request is removed from its queue before
+    /// and queued again after that, because late requests are queued by deadline.
+    fn limit_deadline(&mut self, id: RequestId, deadline: Micros) {
+        let was_queued = self.dequeue(id);
+        if let Some(unfinished) = self.requests.get_mut(&id) {
+            self.rejections.remove(unfinished);
+            unfinished.limit_deadline(deadline);
+            self.rejections.add(unfinished);
+        }
+        if was_queued {
+            self.enqueue(id, Position::ByPriority);
+        }
+    }
+
+    /// Removes a request from its queue without counting its units as served. Returns whether it
+    /// was queued.
+    fn dequeue(&mut self, id: RequestId) -> bool {
+        let Some(unfinished) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let Some(shard) = unfinished.mark_dequeued() else {
+            return false;
+        };
+        if let Some(queue) = self.queues.get_mut(shard) {
+            let request = unfinished.request();
+            queue.remove(request, &self.volumes[request.volume]);
         }
+        true
     }
 
     /// Requests that the connections of clients are closed, once the answer deadline of the
@@ -195,16 +223,10 @@
     /// its units as served.
     fn close(&mut self, id: RequestId) {
         self.unroutable.remove(&id);
+        self.dequeue(id);
         let Some(unfinished) = self.requests.get_mut(&id) else {
             return;
         };
-        let queue = unfinished
-            .mark_dequeued()
-            .and_then(|shard| self.queues.get_mut(shard));
-        if let Some(queue) = queue {
-            let request = unfinished.request();
-            queue.remove(request, &self.volumes[request.volume]);
-        }
         unfinished.close();
         self.rejections.remove(unfinished);
         self.remove_if_finished(id);
--- a/crates/scheduler/tests/shutdown.rs
+++ b/crates/scheduler/tests/shutdown.rs
@@ -4,7 +4,7 @@
 
 use common::{
     default_settings, dispatched_attempts, failed_requests, rejected_requests, request_class,
-    SchedulerHarness, MILLISECOND, SECOND,
+    served, SchedulerHarness, MILLISECOND, SECOND,
 };
 use io_scheduler::{Action, Event, Idempotency, Micros, Settings};
 
@@ -83,3 +83,35 @@
     assert_eq!(rejected_requests(&actions), [0]);
     assert!(dispatched_attempts(&actions).is_empty());
 }
+
+/// Late requests are queued in the order of their deadlines, which the shutdown changes.
+#[test]
+fn late_request_that_is_queued_at_the_shutdown_is_dispatched_or_rejected_once() {
+    for completed_at in [1_100 * MILLISECOND, 4 * SECOND] {
+        let mut harness = SchedulerHarness::new(settings_with_timeout(3 * SECOND), 1);
+        harness.raise_concurrency_limit(0);
+        let occupying = harness.occupy_node_0(5);
+        let mut late = harness.request(Some(0));
+        late.deadline = 20 * SECOND;
+        let id = late.id.0;
+        assert!(dispatched_attempts(&harness.receive(late)).is_empty());
+        harness.fire_timer_at(harness.now + SECOND);
+        let start = harness.now;
+        harness.handle(&[Event::ShutdownRequested]);
+        let completions: Vec<Event> = occupying
+            .iter()
+            .map(|request| served(*request, 10 * MILLISECOND))
+            .collect();
+        let mut actions = harness.handle_at(start + completed_at, &completions);
+        let from = start + completed_at;
+        actions.extend(fire_timers_until(&mut harness, from, from + 4 * SECOND));
+        let dispatches = dispatched_attempts(&actions);
+        let dispatches = dispatches.iter().filter(|attempt| attempt.request == id);
+        assert!(dispatches.count() <= 1);
+        let rejections = rejected_requests(&actions);
+        assert_eq!(
+            rejections.iter().filter(|request| **request == id).count(),
+            1
+        );
+    }
+}
