Judge drains after a restart by what the process before was notified of

Such a notification counts now; one that was written to a connection of a process that had ended does not, which is stricter than before. A test has both cases.

--- a/crates/soak/src/judge/drain.rs
+++ b/crates/soak/src/judge/drain.rs
@@ -75,9 +75,10 @@
     let notifications = history.notifications.get(&(gateway, node));
     let written = notifications.and_then(|notifications| {
         let mut written = notifications.iter();
+        // A new process has the list of the process before it.
         let is_of_change = |notification: &&StatusChange| {
-            let is_for_process = notification.at >= started_at;
-            is_for_process && notification.at >= change.at && notification.status == change.status
+            let is_received = history.is_running(gateway, notification.at);
+            is_received && notification.at >= change.at && notification.status == change.status
         };
         written
             .find(is_of_change)
--- a/crates/soak/src/judge/history.rs
+++ b/crates/soak/src/judge/history.rs
@@ -219,6 +219,13 @@
         processes.find(|process| process.gateway == gateway && process.started_at <= at)
     }
 
+    /// Returns whether a process of a gateway runs at a time.
+    #[must_use]
+    pub fn is_running(&self, gateway: GatewayIndex, at: Duration) -> bool {
+        let process = self.process_at(gateway, at);
+        process.is_some_and(|process| process.ended_at().is_none_or(|ended_at| ended_at > at))
+    }
+
     /// Returns when discovery could be reached, at `at` or later; `None` if that was never again.
     #[must_use]
     pub fn reachable_from(&self, at: Duration) -> Option<Duration> {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -253,6 +253,27 @@
     assert_eq!(violated(&records(7_301)), [Rule::Drain]);
 }
 
+/// The cached list of a new process is that of the process before it.
+#[test]
+fn restarted_process_was_notified_of_what_the_process_before_it_was_notified_of() {
+    let records = |notified_at| {
+        [
+            changed(1_000, NodeStatus::Removed),
+            notified(1_000, NodeStatus::Removed),
+            changed(2_000, NodeStatus::InService),
+            notified(notified_at, NodeStatus::InService),
+            event(3_000, Event::Killed),
+            event(4_000, Event::Started),
+            event(4_100, Event::Ready),
+            sent(5_000, true),
+            attempt(5_010, 100),
+            reply(5_020, ReplyKind::Served),
+        ]
+    };
+    assert!(violated(&records(2_999)).is_empty());
+    assert_eq!(violated(&records(3_500)), [Rule::Drain]);
+}
+
 #[test]
 fn node_that_is_in_service_again_may_be_used() {
     let records = [
