--- a/crates/soak/src/judge/drain.rs
+++ b/crates/soak/src/judge/drain.rs
@@ -1,5 +1,5 @@
-//! No request goes to a node later than the drain grace after the gateway was notified that the node
-//! drains or is removed.
+//! No request goes to a node later than the drain grace after the gateway was notified that the
+//! node drains or is removed.
 
 use super::history::{History, StatusChange};
 use super::{Rule, Violation, PROTOCOL_SLACK};
@@ -34,8 +34,8 @@
     violations
 }
 
-/// Returns since when a gateway counts as notified, at `at`, that a node is out of service; `None` if
-/// the node is in service as far as the gateway was notified.
+/// Returns since when a gateway counts as notified, at `at`, that a node is out of service; `None`
+/// if the node is in service as far as the gateway was notified.
 fn out_of_service_since(
     history: &History<'_>,
     gateway: GatewayIndex,
--- a/crates/soak/src/judge/history.rs
+++ b/crates/soak/src/judge/history.rs
@@ -212,7 +212,8 @@
         }
     }
 
-    /// Returns the process of a gateway that ran at a time: the one that was started last before it.
+    /// Returns the process of a gateway that ran at a time, or ended before it: the one that was
+    /// started last before the time.
     #[must_use]
     pub fn process_at(&self, gateway: GatewayIndex, at: Duration) -> Option<&ProcessHistory> {
         let mut processes = self.processes.iter().rev();
--- a/crates/soak/src/judge/lost.rs
+++ b/crates/soak/src/judge/lost.rs
@@ -70,7 +70,8 @@
     let is_forwarded = !request.attempts.is_empty();
     (is_late && is_forwarded).then(|| {
         format!(
-            "it was sent {:?} after SIGTERM, forwarded, and unanswered at the kill at {killed_at:?}",
+            "it was sent {:?} after SIGTERM, forwarded, and unanswered at the kill at \
+             {killed_at:?}",
             request.sent_at.saturating_sub(shutdown_at)
         )
     })
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -147,7 +147,8 @@
         }
     }
     let mut text = format!(
-        "{} seeds: {passed} passed, {violated} violated, {not_judged} not judged, {not_run} not run\n",
+        "{} seeds: {passed} passed, {violated} violated, {not_judged} not judged, \
+         {not_run} not run\n",
         results.len()
     );
     for (rule, count) in by_rule {
