Keep a cached list unconfirmed when discovery only gets a new address

A related path of the drain break: SIGHUP with a new address of discovery, before the first poll was answered, closed the watch, and that counted as the end of the wait: the cached list was used although discovery had not been asked. Found by reading. A closed watch confirms nothing now; if the new configuration has no address, the wait ends, since no poll can be answered. unconfirmed_list_is_not_used_before_an_update_or_a_failed_poll has the case and fails without the change.

--- a/crates/gateway/src/event_loop/reload.rs
+++ b/crates/gateway/src/event_loop/reload.rs
@@ -43,7 +43,12 @@
     fn set_discovery_address(&mut self, address: Option<SocketAddr>) {
         self.context.config.discovery = address;
         self.watch.reset_list_version();
-        self.watch
-            .close(EndpointListEvent::WatchLost, &mut self.context);
+        // Without an address no poll can be answered, so the current list stays in use.
+        let event = if address.is_some() {
+            EndpointListEvent::WatchLost
+        } else {
+            EndpointListEvent::PollFailed
+        };
+        self.watch.close(event, &mut self.context);
     }
 }
--- a/crates/scheduler/src/endpoints/list_confirmation.rs
+++ b/crates/scheduler/src/endpoints/list_confirmation.rs
@@ -17,10 +17,18 @@
 
 impl ListConfirmation {
     /// Records an update of the endpoint list, or the failure of a poll or watch. Returns whether
-    /// an unconfirmed list may be used from now on.
+    /// an unconfirmed list may be used from now on. A watch that is closed before its first update,
+    /// because discovery has a new address, confirms nothing.
     pub fn record(&mut self, event: EndpointListEvent) -> bool {
         let was_unconfirmed = self.is_unconfirmed;
-        self.is_unconfirmed = event == EndpointListEvent::Unconfirmed;
+        match event {
+            EndpointListEvent::Unconfirmed => self.is_unconfirmed = true,
+            EndpointListEvent::WatchLost => {}
+            EndpointListEvent::Cached
+            | EndpointListEvent::Snapshot
+            | EndpointListEvent::Delta
+            | EndpointListEvent::PollFailed => self.is_unconfirmed = false,
+        }
         was_unconfirmed && !self.is_unconfirmed
     }
 
--- a/crates/scheduler/tests/endpoints.rs
+++ b/crates/scheduler/tests/endpoints.rs
@@ -68,6 +68,9 @@
         let actions = harness.handle_at(SECOND, &[Event::RequestReceived(request)]);
         assert!(dispatched_attempts(&actions).is_empty());
         assert!(!actions.contains(&Action::AcceptClients));
+        // Discovery has a new address, which was not polled yet.
+        let moved = Event::EndpointList(EndpointListEvent::WatchLost, vec![]);
+        assert!(dispatched_attempts(&harness.handle(&[moved])).is_empty());
         let actions = harness.handle(&[Event::EndpointList(event, vec![])]);
         assert_eq!(dispatched_attempts(&actions), [attempt(0, 0)]);
         assert!(actions.contains(&Action::AcceptClients));
