--- a/crates/soak/src/rig/discovery.rs
+++ b/crates/soak/src/rig/discovery.rs
@@ -45,6 +45,8 @@
     nodes: Vec<ListedNode>,
     /// The open watches.
     watches: Vec<Watch>,
+    /// The list as last written to each gateway.
+    written: Vec<ListSnapshot>,
     /// Whether the service is down.
     is_down: bool,
 }
@@ -81,12 +83,14 @@
             address: node.address,
             status: NodeStatus::InService,
         });
-        let state = State {
+        let mut state = State {
             version: 1,
             nodes: listed.collect(),
             watches: Vec::new(),
+            written: Vec::new(),
             is_down: false,
         };
+        state.written = vec![state.snapshot(); gateways];
         let listeners = (0..gateways)
             .map(|_| TcpListener::bind("127.0.0.1:0"))
             .collect::<io::Result<Vec<_>>>()?;
@@ -113,9 +117,9 @@
         self.addresses[gateway]
     }
 
-    /// Returns the list as it is now.
-    pub(super) fn snapshot(&self) -> ListSnapshot {
-        self.lock().snapshot()
+    /// Returns the list as it was last written to a gateway.
+    pub(super) fn written_to(&self, gateway: GatewayIndex) -> ListSnapshot {
+        self.lock().written[gateway].clone()
     }
 
     /// Changes the status of a node, and writes the change to all watches.
@@ -134,8 +138,13 @@
         let now = self.shared.recorder.now();
         self.shared.recorder.add_at(now, None, changed);
         let update = list_update(state.version, false, &[state.entry(node)]) + "\n";
-        for watch in &mut state.watches {
+        let list = state.snapshot();
+        let State {
+            watches, written, ..
+        } = &mut *state;
+        for watch in watches {
             if watch.write_chunk(&update).is_ok() {
+                written[watch.gateway] = list.clone();
                 let node = name.clone();
                 let event = Event::Notified { node, status };
                 self.shared.recorder.add(watch.gateway, event);
@@ -221,6 +230,7 @@
             };
             self.shared.recorder.add(gateway, event);
         }
+        state.written[gateway] = list;
         state.watches.push(watch);
         Ok(())
     }
--- a/crates/soak/src/rig/gateway.rs
+++ b/crates/soak/src/rig/gateway.rs
@@ -112,7 +112,7 @@
             shared: shared.clone(),
             address: Arc::default(),
             child: None,
-            cached: discovery.snapshot(),
+            cached: discovery.written_to(index),
         })
     }
 
@@ -295,7 +295,7 @@
         let Some(mut child) = self.child.take() else {
             return Ok(());
         };
-        self.cached = self.discovery.snapshot();
+        self.cached = self.discovery.written_to(self.index);
         self.clear_address();
         self.record(Event::Killed);
         child.kill()?;
@@ -327,7 +327,7 @@
         };
         if let Ok(Some(status)) = child.try_wait() {
             self.child = None;
-            self.cached = self.discovery.snapshot();
+            self.cached = self.discovery.written_to(self.index);
             self.clear_address();
             let success = status.success();
             self.record(Event::Exited { success });
