--- a/crates/gateway/src/dispatcher/command.rs
+++ b/crates/gateway/src/dispatcher/command.rs
@@ -27,6 +27,10 @@
         /// The final response.
         response: Response,
     },
+    /// Accept clients from now on.
+    AcceptClients,
+    /// Close all client connections after their last reply.
+    CloseClients,
     /// Open a watch on the endpoint list.
     OpenWatch,
 }
--- a/crates/scheduler/src/api/events.rs
+++ b/crates/scheduler/src/api/events.rs
@@ -35,6 +35,10 @@
 pub enum EndpointListEvent {
     /// The list that the host cached before it started, which may be out of date.
     Cached,
+    /// As [`EndpointListEvent::Cached`], for a host that polls discovery: the list is not used, and
+    /// no clients are accepted, until an update arrives or a poll fails
+    /// (`endpoints::list_confirmation`).
+    Unconfirmed,
     /// The complete list.
     Snapshot,
     /// The entries that changed.
@@ -129,6 +133,9 @@
     /// No further response is needed: the client has disconnected, or the caller has already
     /// responded.
     ResponseNotNeeded(RequestId),
+    /// The host was asked to shut down and will be killed a stated time later
+    /// (`request::shutdown`). Only the first such event has an effect.
+    ShutdownRequested,
     /// An attempt completed.
     AttemptCompleted(CompletedAttempt),
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -23,10 +23,11 @@
     Action, Endpoint, EndpointListEvent, Event, Micros, RequestId, Settings, StateSizes,
 };
 use crate::dmclock::ShardQueues;
-use crate::endpoints::{EndpointPolling, NodeTable};
+use crate::endpoints::{EndpointPolling, ListConfirmation, NodeTable};
 use crate::request::key_ordering::KeySequences;
 use crate::request::latency_objective::LatencyObjectives;
 use crate::request::shedding::RejectionTimes;
+use crate::request::shutdown::ShutdownDeadline;
 use crate::request::UnfinishedRequest;
 use crate::retry::eligibility::RetryEligibility;
 use crate::retry::retry_budget::RetryBudgetUsage;
@@ -49,6 +50,8 @@
     actions: Vec<Action>,
     /// Nodes, and the node that holds each shard.
     nodes: NodeTable,
+    /// Whether the endpoint list may be used.
+    list_confirmation: ListConfirmation,
     /// Queued requests, by shard.
     queues: ShardQueues,
     /// Plan, limit and usage of each volume.
@@ -59,6 +62,8 @@
     unroutable: BTreeSet<RequestId>,
     /// Times at which open requests are rejected (load shedding).
     rejections: RejectionTimes,
+    /// When requests must have their final response while the host shuts down.
+    shutdown: ShutdownDeadline,
     /// Latency objectives of requests that were closed without a known served attempt. If the
     /// client resends such a request, it keeps its objective.
     objectives: LatencyObjectives,
@@ -85,11 +90,13 @@
             now,
             actions: Vec::new(),
             nodes: NodeTable::default(),
+            list_confirmation: ListConfirmation::default(),
             queues: ShardQueues::default(),
             volumes: VolumeTable::default(),
             requests: BTreeMap::new(),
             unroutable: BTreeSet::new(),
             rejections: RejectionTimes::default(),
+            shutdown: ShutdownDeadline::default(),
             objectives: LatencyObjectives::default(),
             key_sequences: KeySequences::default(),
             retry_budget: RetryBudgetUsage::new(settings.retry_budget.clone()),
@@ -117,6 +124,7 @@
             self.handle_event(event);
         }
         self.reject_or_fail_expired();
+        self.close_clients_if_due();
         self.dispatch_pending();
         self.poll_if_due();
         self.clean_up();
@@ -135,6 +143,7 @@
             Event::ResponseStarted(id) => self.close_and_record_objective(*id),
             Event::ResponseNotNeeded(id) => self.on_response_not_needed(*id),
             Event::AttemptCompleted(completed) => self.on_attempt_completed(completed),
+            Event::ShutdownRequested => self.on_shutdown_requested(),
             Event::TimerFired => {}
         }
     }
@@ -142,6 +151,9 @@
     /// Applies an update of the endpoint list, or schedules the next poll if the poll or watch
     /// failed.
     fn on_endpoint_list(&mut self, event: EndpointListEvent, endpoints: &[Endpoint]) {
+        if self.list_confirmation.record(event) {
+            self.actions.push(Action::AcceptClients);
+        }
         match event {
             EndpointListEvent::PollFailed => {
                 self.polling.record_failed_poll(self.now);
@@ -152,7 +164,7 @@
                 return;
             }
             EndpointListEvent::Snapshot | EndpointListEvent::Delta => self.polling.record_update(),
-            EndpointListEvent::Cached => {}
+            EndpointListEvent::Cached | EndpointListEvent::Unconfirmed => {}
         }
         self.nodes.apply(event, endpoints);
         for endpoint in endpoints {
