Remove an unused field of the soak, and write a condition of the shutdown out

Found at the last read of the change: the kinds of a kill were told apart but never used, and a condition was hidden in a filter.

--- a/crates/scheduler/src/request/shutdown.rs
+++ b/crates/scheduler/src/request/shutdown.rs
@@ -49,6 +49,10 @@
 
     /// Returns when the scheduler has to be called for the answer deadline.
     pub fn next_check_at(&self) -> Option<Micros> {
-        self.answer_by.filter(|_| !self.is_reported)
+        if self.is_reported {
+            None
+        } else {
+            self.answer_by
+        }
     }
 }
--- a/crates/soak/src/rig/gateway.rs
+++ b/crates/soak/src/rig/gateway.rs
@@ -56,11 +56,8 @@
     Start,
     /// Send SIGTERM.
     Terminate,
-    /// Send SIGKILL. `ends_shutdown` is set for the kill after a SIGTERM.
-    Kill {
-        /// Whether this is the kill after SIGTERM.
-        ends_shutdown: bool,
-    },
+    /// Send SIGKILL.
+    Kill,
     /// Send SIGHUP.
     Reload,
     /// Send SIGSTOP.
@@ -150,11 +147,8 @@
             steps.extend(self.steps_of(step.action, step.at));
         }
         steps.retain(|(at, _)| *at < RUN_TIME);
-        let kill = ProcessStep::Kill {
-            ends_shutdown: true,
-        };
         steps.push((RUN_TIME, ProcessStep::Terminate));
-        steps.push((RUN_TIME + self.kill_after(), kill));
+        steps.push((RUN_TIME + self.kill_after(), ProcessStep::Kill));
         steps.sort_by_key(|(at, _)| *at);
         steps
     }
@@ -164,21 +158,15 @@
         match action {
             Action::ShutDown { gateway } if gateway == self.index => {
                 let killed_at = at + self.kill_after();
-                let kill = ProcessStep::Kill {
-                    ends_shutdown: true,
-                };
                 vec![
                     (at, ProcessStep::Terminate),
-                    (killed_at, kill),
+                    (killed_at, ProcessStep::Kill),
                     (killed_at + RESTART_DELAY, ProcessStep::Start),
                 ]
             }
             Action::Kill { gateway, down_ms } if gateway == self.index => {
-                let kill = ProcessStep::Kill {
-                    ends_shutdown: false,
-                };
                 let started_at = at + Duration::from_millis(down_ms);
-                vec![(at, kill), (started_at, ProcessStep::Start)]
+                vec![(at, ProcessStep::Kill), (started_at, ProcessStep::Start)]
             }
             Action::Reload { gateway } if gateway == self.index => {
                 vec![(at, ProcessStep::Reload)]
@@ -203,7 +191,7 @@
                     self.record(Event::ShutdownRequested);
                 }
             }
-            ProcessStep::Kill { .. } => self.kill()?,
+            ProcessStep::Kill => self.kill()?,
             ProcessStep::Reload => _ = self.signal(Signal::HUP),
             ProcessStep::Stop => _ = self.signal(Signal::STOP),
             ProcessStep::Continue => _ = self.signal(Signal::CONT),
