Run and judge a seed in one place, and record a reply in one place, in the soak

Found at the last read of the change: the command and the test of fixed seeds each ran, judged and counted a plan, and the client recorded a reply in two loops. run_and_judge and record_reply serve both. The test reports a run that failed among its failures, where it panicked before; its assertions stay. The gateway and the decision module are untouched.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,12 +2,10 @@
 
 use clap::Parser;
 use gateway_soak::arguments::Arguments;
-use gateway_soak::judge::judge;
 use gateway_soak::plan::{plan, Scenario};
-use gateway_soak::report::{
-    count_requests, format_seed, format_summary, RequestCounts, SeedResult, Verdict,
-};
-use gateway_soak::rig::{run, RigOptions};
+use gateway_soak::report::{format_seed, format_summary, SeedResult, Verdict};
+use gateway_soak::rig::RigOptions;
+use gateway_soak::seed::run_and_judge;
 use std::collections::BTreeSet;
 use std::process::ExitCode;
 use std::sync::{Mutex, PoisonError};
@@ -84,16 +82,5 @@
         program: arguments.gateway.clone(),
         logs: arguments.logs.clone(),
     };
-    match run(&plan, &options) {
-        Ok(result) => SeedResult {
-            plan,
-            verdict: Verdict::of(judge(&result.records, result.bounds), result.lateness),
-            counts: count_requests(&result.records),
-        },
-        Err(error) => SeedResult {
-            plan,
-            verdict: Verdict::NotRun(error.to_string()),
-            counts: RequestCounts::default(),
-        },
-    }
+    run_and_judge(plan, &options)
 }
--- a/crates/soak/src/rig/client.rs
+++ b/crates/soak/src/rig/client.rs
@@ -141,6 +141,14 @@
         self.shared.recorder.add(self.gateway, event);
     }
 
+    /// Records the reply to a request.
+    fn record_reply(&self, value: &Value, request: &RequestText) {
+        self.record(Event::ReplyReceived {
+            request: request.id.clone(),
+            reply: reply_kind(value, &request.id),
+        });
+    }
+
     /// Returns whether the client does not wait for a reply before it sends the next request.
     fn sends_continuously(&self) -> bool {
         self.plan.has_irregular_clients && self.number == 0
@@ -181,9 +189,7 @@
             let due_at = *sent_at + request.timeout + EXTRA_WAIT;
             match self.receive(connection, next_at) {
                 Ok(value) => {
-                    let reply = reply_kind(&value, &request.id);
-                    let request = request.id.clone();
-                    self.record(Event::ReplyReceived { request, reply });
+                    self.record_reply(&value, request);
                     pending.pop_front();
                 }
                 Err(Stop::Close) if self.shared.recorder.now() < due_at => return Ok(()),
@@ -276,9 +282,7 @@
         while let Some((request, sent_at)) = pending.pop_front() {
             let until = sent_at + request.timeout + EXTRA_WAIT;
             let value = self.receive(connection, until)?;
-            let reply = reply_kind(&value, &request.id);
-            let request = request.id;
-            self.record(Event::ReplyReceived { request, reply });
+            self.record_reply(&value, &request);
         }
         written
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,9 +1,9 @@
 //! A fixed set of seeds on the gateway program of this build.
 
-use gateway_soak::judge::judge;
 use gateway_soak::plan::{plan, Scenario};
-use gateway_soak::report::{count_requests, format_seed, SeedResult, Verdict};
-use gateway_soak::rig::{run, RigOptions};
+use gateway_soak::report::{format_seed, SeedResult, Verdict};
+use gateway_soak::rig::RigOptions;
+use gateway_soak::seed::run_and_judge;
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::thread;
@@ -30,15 +30,7 @@
         program: gateway_program(),
         logs: None,
     };
-    let run_seed = |seed: u64| {
-        let plan = plan(seed, scenario, &BTreeSet::new());
-        let result = run(&plan, &options).expect("the rig should run");
-        SeedResult {
-            plan,
-            verdict: Verdict::of(judge(&result.records, result.bounds), result.lateness),
-            counts: count_requests(&result.records),
-        }
-    };
+    let run_seed = |seed: u64| run_and_judge(plan(seed, scenario, &BTreeSet::new()), &options);
     let mut failures = Vec::new();
     for group in seeds.chunks(PARALLEL) {
         let results: Vec<SeedResult> = thread::scope(|scope| {
@@ -57,7 +49,7 @@
             if !matches!(result.verdict, Verdict::Passed) {
                 print!("{}", format_seed(&result));
             }
-            if matches!(result.verdict, Verdict::Violated(_)) {
+            if matches!(result.verdict, Verdict::Violated(_) | Verdict::NotRun(_)) {
                 failures.push(format_seed(&result));
             }
         }
