--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 READY_LIMIT_S = 30.0
+LONGEST_RUN_S = 115
 START = time.monotonic()
 
 
@@ -242,13 +243,21 @@
         loop.close()
 
 
+def give_up(number, _):
+    """Ends the script on a signal; the processes that it started are ended on the way out."""
+    raise SystemExit(f"ended by {signal.Signals(number).name}")
+
+
 def run_case(folder, case):
     """Runs `case(record, folder_for_files)`, which returns a list of breaks, and gives the exit code of run.sh."""
     record = Record(folder)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(LONGEST_RUN_S)
     try:
         with tempfile.TemporaryDirectory(prefix="review-") as files:
             breaks = run_loop(case(record, files))
-    except CannotRun as reason:
+    except (CannotRun, SystemExit) as reason:
         record.write(f"cannot run: {reason}")
         print(f"cannot run: {reason}")
         return 2
