--- a/crates/gateway/src/connections/node/attempts.rs
+++ b/crates/gateway/src/connections/node/attempts.rs
@@ -4,6 +4,7 @@
 use super::idle_timeout::IdleTimeoutEstimate;
 use super::node_connections::NodeConnections;
 use super::open::OpenError;
+use crate::connection_token::ConnectionToken;
 use crate::context::Context;
 use crate::dispatcher::AbortCause;
 use crate::storage_request::{AttemptId, Operation};
@@ -183,24 +184,26 @@
     if in_flight.is_encoded() {
         return;
     }
-    log_write(in_flight, context);
+    log_write(in_flight, connection.token(), context);
     let now = context.clock_time();
     connection.encode_request(now, &mut context.timers);
 }
 
-/// Logs that the request of an attempt is written now, with the delay since its dispatch and the
-/// time since the turn began.
-fn log_write(in_flight: &InFlightAttempt, context: &Context) {
+/// Logs that the request of an attempt is written now, with its connection, the delay since its
+/// dispatch and the time since the turn began.
+fn log_write(in_flight: &InFlightAttempt, token: ConnectionToken, context: &Context) {
     if !log::log_enabled!(log::Level::Debug) {
         return;
     }
     let clock_time = context.clock_time();
     let attempt = &in_flight.attempt;
     log::debug!(
-        "request {}: writing attempt {} to node {}, {} us after its start, {} us into the turn",
+        "request {}: writing attempt {} to node {} on connection {}, {} us after its start, {} us \
+         into the turn",
         attempt.request.client_request_id,
         attempt.id.number,
         attempt.node.0,
+        u64::from(token),
         clock_time - in_flight.started_at,
         clock_time - context.now
     );
--- a/crates/gateway/src/connections/node/events.rs
+++ b/crates/gateway/src/connections/node/events.rs
@@ -1,7 +1,7 @@
 //! Event handlers of connections to nodes: the socket is ready, the timer has expired, or a
 //! response is complete.
 
-use super::connection::{NodeConnection, MAX_BUFFERED_INPUT_BYTES};
+use super::connection::{InFlightAttempt, NodeConnection, MAX_BUFFERED_INPUT_BYTES};
 use super::node_connections::NodeConnections;
 use crate::connection_token::ConnectionToken;
 use crate::connections::socket::StreamStatus;
@@ -104,6 +104,7 @@
         let Some(in_flight) = connection.in_flight.take() else {
             return;
         };
+        log_response(&in_flight, &result, connection.token(), context);
         let attempt = in_flight.attempt.id;
         self.attempt_connections.remove(&attempt);
         context.dispatcher.record_may_have_executed(attempt);
@@ -115,6 +116,27 @@
     }
 }
 
+/// Logs that the response to an attempt is complete, with its connection and the time since the
+/// attempt's start.
+fn log_response(
+    in_flight: &InFlightAttempt,
+    result: &AttemptResult,
+    token: ConnectionToken,
+    context: &Context,
+) {
+    let attempt = &in_flight.attempt;
+    log::debug!(
+        "request {}: response {:?} to attempt {} from node {} on connection {}, {} us after its \
+         start",
+        attempt.request.client_request_id,
+        result.outcome,
+        attempt.id.number,
+        attempt.node.0,
+        u64::from(token),
+        context.now - in_flight.started_at
+    );
+}
+
 /// Logs why the input could not be decoded, with the first bytes of the input.
 fn log_invalid_response(connection: &NodeConnection, error: ProtocolError) {
     let input = &connection.socket.input;
