Recognize a node's late second reply by a barrier behind the request

Cause: RESP2 replies have no request id. A connection is used again as soon as a reply is complete, and a second copy that arrives after the next request was written is decoded as the reply to that request. Evidence: in a debug log with connections, 4 of 4 foreign values are those of the request before on the same connection, 584 to 1,540 us after the attempt's start; the fastest other reply took 4,810 us. Change: a reply whose value equals the previous one on its connection is held, and SELECT, whose reply is +OK, is sent behind the request. Replies come in the order of the commands: if +OK is next, the held reply belongs to the request; if another reply is next, that one does, the copy is discarded, and the connection is closed. Why it works: the order of the replies decides and no time does, so it holds however late the copy is. Five of the new tests failed before the fix.

--- a/crates/gateway/src/connections/node/events.rs
+++ b/crates/gateway/src/connections/node/events.rs
@@ -57,6 +57,7 @@
             Ok(Some(result)) => {
                 self.complete_attempt(&mut connection, result, context);
                 if !connection.is_reusable() {
+                    log_not_reusable(&connection);
                     return self.drop_connection(connection, context);
                 }
                 connection.socket.shrink_empty_input();
@@ -137,6 +138,16 @@
     );
 }
 
+/// Logs that a connection is closed after a complete response, because the node has closed it or
+/// has sent more than the response.
+fn log_not_reusable(connection: &NodeConnection) {
+    log::debug!(
+        "node {}: connection {} is not reusable after a response, closing it",
+        connection.node.0,
+        u64::from(connection.token())
+    );
+}
+
 /// Logs why the input could not be decoded, with the first bytes of the input.
 fn log_invalid_response(connection: &NodeConnection, error: ProtocolError) {
     let input = &connection.socket.input;
--- a/crates/gateway/src/node_protocol/resp/mod.rs
+++ b/crates/gateway/src/node_protocol/resp/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`RespProtocol`] encodes requests. Replies are decoded in layers: `reader` reads RESP2 values,
 //! `reply` converts them to the result of a request, and `usage_report` parses the usage report of
-//! a reply. The names on the wire are defined in `crate::resp_wire_names`.
+//! a reply. `duplicate_replies` recognizes replies that a node sends twice. The names on the wire are defined in `crate::resp_wire_names`.
 
+mod duplicate_replies;
 mod protocol;
 mod reader;
 mod reply;
--- a/crates/gateway/src/node_protocol/resp/protocol.rs
+++ b/crates/gateway/src/node_protocol/resp/protocol.rs
@@ -1,6 +1,7 @@
 //! Protocol state of one connection, and encoding of requests.
 
-use super::reply::{declared_value_length, parse_reply, MAX_REPORT_BYTES};
+use super::duplicate_replies::{DuplicateReplies, Verdict};
+use super::reply::{declared_value_length, parse_reply, ReplyContent, MAX_REPORT_BYTES};
 use crate::hex_id::HexId;
 use crate::node_protocol::{NodeProtocol, ProtocolError};
 use crate::resp_bulk_string::append_bulk_string;
@@ -14,6 +15,8 @@
 pub struct RespProtocol {
     /// Whether a request is in flight.
     is_awaiting_reply: bool,
+    /// Recognizes duplicates of earlier replies.
+    duplicates: DuplicateReplies,
     /// Maximum length of a value in bytes.
     max_value_length: usize,
     /// Declared length in bytes of the value that is being received; 0 if it is not known.
@@ -27,11 +30,37 @@
     pub fn new(max_value_length: usize) -> RespProtocol {
         RespProtocol {
             is_awaiting_reply: false,
+            duplicates: DuplicateReplies::default(),
             max_value_length,
             declared_length: 0,
         }
     }
 
+    /// Handles the next reply. Returns the result of the request in flight once it is known, and
+    /// `None` until then.
+    fn handle_reply(
+        &mut self,
+        content: ReplyContent,
+        out: &mut Vec<u8>,
+    ) -> Result<Option<AttemptResult>, ProtocolError> {
+        let result = match content {
+            ReplyContent::Barrier => {
+                let held = self.duplicates.finish_barrier();
+                held.ok_or(ProtocolError::UnexpectedType)?
+            }
+            ReplyContent::Result(result) => match self.duplicates.judge(result) {
+                Verdict::Use(result) => result,
+                Verdict::SendBarrier => {
+                    log::debug!("a reply equals the previous one: sending a barrier");
+                    append_command(command::BARRIER, out);
+                    return Ok(None);
+                }
+            },
+        };
+        self.is_awaiting_reply = false;
+        Ok(Some(result))
+    }
+
     /// Returns whether `buffered` bytes of an incomplete reply exceed the maximum length of a
     /// reply.
     fn exceeds_max_reply_length(&self, buffered: usize) -> bool {
@@ -90,27 +119,32 @@
     }
 
     fn counted_response_bytes(&self) -> usize {
-        self.declared_length
+        self.declared_length + self.duplicates.held_bytes()
+    }
+
+    fn is_reply_outstanding(&self) -> bool {
+        self.duplicates.is_barrier_outstanding()
     }
 
     fn decode(
         &mut self,
         input: &mut Vec<u8>,
-        _out: &mut Vec<u8>,
+        out: &mut Vec<u8>,
     ) -> Result<Option<AttemptResult>, ProtocolError> {
         if !self.is_awaiting_reply && !input.is_empty() {
             return Err(ProtocolError::UnsolicitedReply);
         }
-        let Some(reply) = parse_reply(input, self.max_value_length)? else {
-            if self.exceeds_max_reply_length(input.len()) {
-                return Err(ProtocolError::ReplyTooLong);
+        while let Some(reply) = parse_reply(input, self.max_value_length)? {
+            self.declared_length = 0;
+            input.drain(..reply.length);
+            if let Some(result) = self.handle_reply(reply.content, out)? {
+                return Ok(Some(result));
             }
-            self.declared_length = declared_value_length(input);
-            return Ok(None);
-        };
-        self.is_awaiting_reply = false;
-        self.declared_length = 0;
-        input.drain(..reply.length);
-        Ok(Some(reply.result))
+        }
+        if self.exceeds_max_reply_length(input.len()) {
+            return Err(ProtocolError::ReplyTooLong);
+        }
+        self.declared_length = declared_value_length(input);
+        Ok(None)
     }
 }
--- a/crates/gateway/src/node_protocol/resp/reply.rs
+++ b/crates/gateway/src/node_protocol/resp/reply.rs
@@ -17,14 +17,25 @@
 /// First bytes of a reply that contains a value, up to the declared length of the value.
 const SERVED_PREFIX: &[u8] = b"*3\r\n$";
 
+/// Line of the reply to a barrier.
+const BARRIER_LINE: &[u8] = b"+OK";
+
 /// A complete reply.
 pub(super) struct Reply {
-    /// Result of the request.
-    pub(super) result: AttemptResult,
+    /// What the reply says.
+    pub(super) content: ReplyContent,
     /// Length of the reply in bytes.
     pub(super) length: usize,
 }
 
+/// The content of a reply.
+pub(super) enum ReplyContent {
+    /// The result of a request.
+    Result(AttemptResult),
+    /// The reply to a barrier, which has no content.
+    Barrier,
+}
+
 /// Decodes the reply at the front of `input`, whose value may have up to `max_value_length` bytes.
 /// Returns `None` if the reply is incomplete.
 pub(super) fn parse_reply(
@@ -32,9 +43,9 @@
     max_value_length: usize,
 ) -> Result<Option<Reply>, ProtocolError> {
     let mut reader = ReplyReader::new(input);
-    match read_result(&mut reader, max_value_length) {
-        Ok(result) => Ok(Some(Reply {
-            result,
+    match read_content(&mut reader, max_value_length) {
+        Ok(content) => Ok(Some(Reply {
+            content,
             length: reader.position(),
         })),
         Err(ReadError::Incomplete) => Ok(None),
@@ -42,14 +53,15 @@
     }
 }
 
-/// Reads a reply and returns the result of the request.
-fn read_result(
+/// Reads a reply.
+fn read_content(
     reader: &mut ReplyReader<'_>,
     max_value_length: usize,
-) -> Result<AttemptResult, ReadError> {
+) -> Result<ReplyContent, ReadError> {
     match reader.read_line()? {
-        [b'-', text @ ..] => Ok(error_result(text)),
-        SERVED_LINE => read_served_result(reader, max_value_length),
+        [b'-', text @ ..] => Ok(ReplyContent::Result(error_result(text))),
+        SERVED_LINE => read_served_result(reader, max_value_length).map(ReplyContent::Result),
+        BARRIER_LINE => Ok(ReplyContent::Barrier),
         _ => Err(ProtocolError::UnexpectedType.into()),
     }
 }
--- a/crates/gateway/src/resp_wire_names.rs
+++ b/crates/gateway/src/resp_wire_names.rs
@@ -9,6 +9,9 @@
     pub(crate) const READ: &[u8] = b"IO.IN";
     /// Writes an object.
     pub(crate) const WRITE: &[u8] = b"IO.OUT";
+    /// A barrier: a command without effect, whose reply shows that all earlier commands have been
+    /// replied to.
+    pub(crate) const BARRIER: &[&[u8]] = &[b"SELECT", b"0"];
 }
 
 /// Names in the parameter list of a request. The parameter `r`, which marks a client's retry, is
--- a/crates/gateway/tests/gateway_process/races/node_connections.rs
+++ b/crates/gateway/tests/gateway_process/races/node_connections.rs
@@ -184,6 +184,66 @@
     serve_request(&mut node, &mut read.client, "a2", "two");
 }
 
+/// The command that the gateway sends to find out to which request a response belongs.
+const BARRIER: &str = "SELECT 0";
+/// A node's response to [`BARRIER`].
+const BARRIER_RESPONSE: &str = "+OK\r\n";
+
+/// A node sends a response a second time after the next request has been written on the connection.
+/// Guards against serving the client of that request the value of the earlier one.
+#[test]
+fn late_second_response_is_not_used_for_the_next_request() {
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    read.complete("one");
+    read.client.send(encode_read_request("a2"));
+    read.node.expect_request("a2");
+
+    read.node.respond("one");
+    read.node.expect_value(BARRIER);
+    read.node.respond("two");
+
+    read.client.expect_value("two");
+    // The response to the barrier is outstanding, so the connection is not used again.
+    read.node.expect_closed();
+}
+
+/// As before, with both responses ready in the same turn of the event loop.
+#[test]
+fn late_second_response_is_not_used_if_it_is_read_together_with_the_right_one() {
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    read.complete("one");
+    read.client.send(encode_read_request("a2"));
+    read.node.expect_request("a2");
+
+    cluster.gateway.pause();
+    read.node.respond("one");
+    read.node.respond("two");
+    cluster.gateway.resume();
+
+    read.client.expect_value("two");
+}
+
+/// A node makes the same value for two requests. Guards against taking the second response for a
+/// late copy of the first.
+#[test]
+fn equal_responses_to_two_requests_are_both_served() {
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    read.complete("one");
+    read.client.send(encode_read_request("a2"));
+    read.node.expect_request("a2");
+
+    read.node.respond("one");
+    read.node.expect_value(BARRIER);
+    read.node.send(BARRIER_RESPONSE);
+
+    read.client.expect_value("one");
+    read.client.send(encode_read_request("a3"));
+    serve_request(&mut read.node, &mut read.client, "a3", "three");
+}
+
 /// How long after an unanswered connection request the system repeats it.
 const CONNECT_RETRANSMISSION: Duration = Duration::from_millis(1_000);
 /// The drain grace of 250 ms and the 50 ms by which the protocol extends every time limit.
--- a/crates/gateway/tests/in_process/node_protocols.rs
+++ b/crates/gateway/tests/in_process/node_protocols.rs
@@ -146,6 +146,73 @@
     assert_eq!(result.body, value_body("v"));
 }
 
+/// The command whose reply shows that all earlier commands have been replied to.
+const RESP_BARRIER: &str = "*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
+
+/// Sends a request for each operation on one RESP2 connection, and decodes its reply before the
+/// next one. Returns what is decoded from the last of `replies`, and what is sent behind the
+/// requests.
+fn last_resp_result(
+    operations: &[Operation],
+    replies: &[&str],
+) -> (Result<Option<ComparableResult>, ProtocolError>, String) {
+    let mut protocol = RespProtocol::new(MAX_VALUE_BYTES);
+    let (mut output, mut last) = (Vec::new(), Ok(None));
+    for (operation, reply) in operations.iter().zip(replies) {
+        protocol.encode_request(&storage_request(*operation), 1, &mut Vec::new());
+        let mut input = reply.as_bytes().to_vec();
+        last = protocol.decode(&mut input, &mut output);
+    }
+    let result = last.map(|result| result.map(ComparableResult::from));
+    (result, String::from_utf8_lossy(&output).into_owned())
+}
+
+/// Guards against using a late duplicate for the next request. The duplicate may have other reports.
+#[test]
+fn resp_reply_after_a_duplicate_belongs_to_the_request() {
+    let first = "*3\r\n$1\r\na\r\n$7\r\nqueue=2\r\n$-1\r\n";
+    let duplicate = "*3\r\n$1\r\na\r\n$7\r\nqueue=3\r\n$-1\r\n";
+    let right = "*3\r\n$1\r\nb\r\n$-1\r\n$-1\r\n";
+    let operations = [Operation::Read, Operation::Write];
+    let served = Ok(Some(ComparableResult::served("b", None, 0.0)));
+    assert_eq!(
+        last_resp_result(&operations, &[first, &format!("{duplicate}{right}")]),
+        (served, RESP_BARRIER.to_owned())
+    );
+}
+
+/// A node may give equal replies to two requests. Guards against discarding the second one.
+#[test]
+fn equal_resp_reply_is_used_once_the_barrier_is_replied_to() {
+    let value = "*3\r\n$1\r\na\r\n$-1\r\n$-1\r\n";
+    let operations = [Operation::Read, Operation::Read];
+    assert_eq!(
+        last_resp_result(&operations, &[value, value]),
+        (Ok(None), RESP_BARRIER.to_owned())
+    );
+    let served = Ok(Some(ComparableResult::served("a", None, 0.0)));
+    assert_eq!(
+        last_resp_result(&operations, &[value, &format!("{value}+OK\r\n")]),
+        (served, RESP_BARRIER.to_owned())
+    );
+}
+
+/// Errors and rejections are often equal. Guards against holding them back.
+#[test]
+fn repeated_resp_error_is_used_at_once() {
+    for (reply, outcome) in [
+        ("-ERR failed\r\n", Outcome::Error),
+        ("-BUSY\r\n", Outcome::Overloaded),
+    ] {
+        let result = Ok(Some(ComparableResult::not_served(outcome, 0.0)));
+        let operations = [Operation::Write, Operation::Write];
+        assert_eq!(
+            last_resp_result(&operations, &[reply, reply]),
+            (result, String::new())
+        );
+    }
+}
+
 #[test]
 fn malformed_resp_reply_is_a_protocol_error() {
     let missing_terminator = ProtocolError::MissingTerminator(MissingTerminator);
