--- a/crates/gateway/tests/in_process/node_protocols.rs
+++ b/crates/gateway/tests/in_process/node_protocols.rs
@@ -167,7 +167,8 @@
     (result, String::from_utf8_lossy(&output).into_owned())
 }
 
-/// Guards against using a late duplicate for the next request. The duplicate may have other reports.
+/// Guards against using a late duplicate for the next request. The duplicate may have other
+/// reports.
 #[test]
 fn resp_reply_after_a_duplicate_belongs_to_the_request() {
     let first = "*3\r\n$1\r\na\r\n$7\r\nqueue=2\r\n$-1\r\n";
