Run the commands that a limit has left unparsed once the replies are written

Cause: commands were parsed before the replies were written. Replies of 64 KiB that become ready together stop the parsing, the write removes the reason, and no event follows that would parse the rest. Whole commands in the input were then taken for an incomplete one. Change: parsing continues after each write until no complete command is left or a limit still holds. The parser decides whether the rest is incomplete; the time limit and the memory budget of incomplete commands apply only then. Why it works: when the loop ends, a reply is pending, output waits or the rest is incomplete, and each has its event.

--- a/crates/gateway/src/connections/client/commands.rs
+++ b/crates/gateway/src/connections/client/commands.rs
@@ -1,7 +1,7 @@
 //! Parsing the commands of a client, submitting their requests and writing the replies.
 
 use super::client_connections::ClientConnections;
-use super::connection::{ClientConnection, MAX_INPUT_BYTES, MAX_UNSENT_BYTES};
+use super::connection::{ClientConnection, MAX_UNSENT_BYTES};
 use super::eviction_queue::EvictionRank;
 use crate::client_protocol::ParsedCommand;
 use crate::context::Context;
@@ -13,6 +13,24 @@
 /// this multiple of their budget.
 const MAX_BACKLOG_FACTOR: usize = 2;
 
+/// The input that [`ClientConnections::run_commands`] has parsed.
+struct ParsedInput {
+    /// Number of bytes of the commands that were run.
+    bytes: usize,
+    /// What the rest of the input is.
+    rest: UnparsedInput,
+}
+
+/// The input behind the commands that were run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnparsedInput {
+    /// No complete command.
+    Incomplete,
+    /// It was not parsed, because of a limit on pending replies or because the connection is
+    /// closing. It may contain complete commands.
+    Unknown,
+}
+
 impl ClientConnections {
     /// Runs the commands that have arrived on a connection and writes the replies that are ready.
     /// Then stores the connection, starts or continues its lingering close, or drops it.
@@ -21,20 +39,33 @@
         mut client: ClientConnection,
         context: &mut Context,
     ) {
-        let parsed_bytes = self.run_commands(&mut client, context);
-        self.consume_input(&mut client, parsed_bytes, context);
-        let input_is_full = client.socket.input.len() >= MAX_INPUT_BYTES;
+        loop {
+            let parsed = self.run_commands(&mut client, context);
+            self.consume_input(&mut client, &parsed, context);
+            let flushed = self.flush(&mut client, context.now);
+            if flushed.is_err() || self.has_excessive_backlog(&client, context) {
+                return self.drop_connection(client, context);
+            }
+            // The replies just written may have been the reason why commands were not parsed, and
+            // no event may follow that would parse them.
+            let is_resumable = parsed.rest == UnparsedInput::Unknown && !client.input_is_empty();
+            if !is_resumable || !self.may_run_command(&client, context) {
+                break;
+            }
+        }
+        self.wait_for_events_or_close(client, context);
+    }
+
+    /// Stores a connection whose commands have been run, or starts its lingering close if it is due
+    /// to be closed and all replies are written.
+    fn wait_for_events_or_close(&mut self, mut client: ClientConnection, context: &mut Context) {
         let is_closable_for_shutdown =
             context.shutdown.is_closing_clients() && !client.has_partial_command_or_open_upload();
         let may_close = client.is_closing() || is_closable_for_shutdown;
-        let flushed = self.flush(&mut client, context.now);
-        if flushed.is_err() || self.has_excessive_backlog(&client, context) {
-            return self.drop_connection(client, context);
-        }
         if may_close && client.is_fully_replied() {
             return self.linger(client, context);
         }
-        let interest = client.interest(input_is_full);
+        let interest = client.interest();
         let registered = client.socket.set_interest(interest, &context.poller);
         if registered.is_err() {
             return self.drop_connection(client, context);
@@ -42,20 +73,29 @@
         self.store(client, &mut context.timers);
     }
 
+    /// Returns whether the limits allow another command of a connection to be run. While the unsent
+    /// replies of all clients exceed their budget, each client may have only one pending reply.
+    fn may_run_command(&self, client: &ClientConnection, context: &Context) -> bool {
+        let over_budget = self.unsent_bytes >= context.config.memory_budget.unsent_reply_bytes;
+        client.may_parse_command() && (!over_budget || client.replies.is_empty())
+    }
+
     /// Parses and runs commands until no complete one is left or a limit on pending replies is
-    /// reached. Returns the number of input bytes that were parsed.
-    fn run_commands(&mut self, client: &mut ClientConnection, context: &mut Context) -> usize {
+    /// reached.
+    fn run_commands(
+        &mut self,
+        client: &mut ClientConnection,
+        context: &mut Context,
+    ) -> ParsedInput {
         let mut position = 0;
-        let over_budget = self.unsent_bytes >= context.config.memory_budget.unsent_reply_bytes;
-        while client.may_parse_command() {
-            // While the unsent replies of all clients exceed their budget, each client may have
-            // only one pending reply.
-            if over_budget && !client.replies.is_empty() {
-                break;
-            }
+        let mut rest = UnparsedInput::Unknown;
+        while self.may_run_command(client, context) {
             let has_node_in_service = context.dispatcher.has_node_in_service();
             match client.parse_command(&mut position, has_node_in_service) {
-                ParsedCommand::Incomplete => break,
+                ParsedCommand::Incomplete => {
+                    rest = UnparsedInput::Incomplete;
+                    break;
+                }
                 ParsedCommand::Close(reply) => {
                     client.close_after_reply(reply);
                     break;
@@ -65,7 +105,10 @@
             }
             client.record_command(context.now);
         }
-        position
+        ParsedInput {
+            bytes: position,
+            rest,
+        }
     }
 
     /// Submits the requests of the next command to the dispatcher. The reply to the command stays
@@ -97,10 +140,10 @@
     fn consume_input(
         &mut self,
         client: &mut ClientConnection,
-        parsed_bytes: usize,
+        parsed: &ParsedInput,
         context: &Context,
     ) {
-        client.consume_parsed(parsed_bytes, context.now);
+        client.consume_parsed(parsed.bytes, parsed.rest, context.now);
         let buffered_bytes = client.socket.input.capacity();
         client
             .counted_partial_command_bytes
--- a/crates/gateway/src/connections/client/connection.rs
+++ b/crates/gateway/src/connections/client/connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client connection.
 
+use super::commands::UnparsedInput;
 use super::eviction_queue::{EvictionCandidate, EvictionRank};
 use super::reply_queue::ReplyQueue;
 use crate::client_protocol::resp::MAX_COMMAND_BYTES;
@@ -133,10 +134,15 @@
         self.replies.is_empty() && self.socket.unsent_bytes() == 0
     }
 
+    /// Returns whether the input buffer is empty.
+    pub(super) fn input_is_empty(&self) -> bool {
+        self.socket.input.is_empty()
+    }
+
     /// Returns whether the input buffer contains a command, complete or in part, or an upload is
     /// open.
     pub(super) fn has_partial_command_or_open_upload(&self) -> bool {
-        !self.socket.input.is_empty() || self.protocol.has_open_upload()
+        !self.input_is_empty() || self.protocol.has_open_upload()
     }
 
     /// Returns whether the connection may be closed as idle: no reply is pending, no command has
@@ -172,17 +178,18 @@
 
     /// Discards the parsed input, or all input if the connection is closing. Updates
     /// [`Self::partial_command_since`].
-    pub(super) fn consume_parsed(&mut self, parsed_bytes: usize, now: Micros) {
+    pub(super) fn consume_parsed(&mut self, parsed_bytes: usize, rest: UnparsedInput, now: Micros) {
         let consumed = if self.is_closing() {
             self.socket.input.len()
         } else {
             parsed_bytes
         };
         self.socket.consume(consumed);
-        if consumed > 0 || self.socket.input.is_empty() {
+        let is_incomplete = !self.input_is_empty() && rest == UnparsedInput::Incomplete;
+        if consumed > 0 || !is_incomplete {
             self.partial_command_since = None;
         }
-        if !self.socket.input.is_empty() && self.replies.is_empty() {
+        if is_incomplete && self.replies.is_empty() {
             self.partial_command_since.get_or_insert(now);
         }
     }
@@ -210,7 +217,8 @@
 
     /// Returns the events to wait for before a lingering close. Reading is paused while the input
     /// buffer is full and once the connection is closing.
-    pub(super) fn interest(&self, input_is_full: bool) -> Interest {
+    pub(super) fn interest(&self) -> Interest {
+        let input_is_full = self.socket.input.len() >= MAX_INPUT_BYTES;
         if input_is_full || self.is_closing() {
             Interest::Paused
         } else {
--- a/crates/gateway/tests/gateway_process/races/mod.rs
+++ b/crates/gateway/tests/gateway_process/races/mod.rs
@@ -7,5 +7,6 @@
 mod idle_close;
 mod local_shortage;
 mod node_connections;
+mod pipelining;
 mod reload;
 mod shutdown;
