Recognize late second errors and rejections too, and close on error lines of unknown names

Callers would see: a value of another request, or a write that runs twice, after a node sends an error or -BUSY a second time. Cause: only values were compared with the previous reply. A second error ended the next request, whose own reply was then taken for that of the request after it, and so on for the connection. A second -BUSY also promised that a request that runs was not executed. An error line of any name counted as a reply, so that noise of that form shifted replies too. Change: any reply that equals the previous one, without its reports, is held until the barrier decides. Error lines other than -ERR and -BUSY are invalid and close the connection. The soak's node replies +OK to SELECT, as the protocol says.

--- a/crates/gateway/src/node_protocol/error.rs
+++ b/crates/gateway/src/node_protocol/error.rs
@@ -17,6 +17,9 @@
     /// A RESP2 value has another type than expected.
     #[error("RESP2 value of an unexpected type")]
     UnexpectedType,
+    /// A RESP2 error line has a name that is not that of a reply to a request.
+    #[error("unknown RESP2 error")]
+    UnknownError,
     /// A RESP2 line exceeds the maximum length.
     #[error("RESP2 line exceeds the maximum length")]
     LineTooLong,
--- a/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
+++ b/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
@@ -11,39 +11,47 @@
 
 use crate::storage_request::{AttemptResult, ResponseBody};
 use foldhash::fast::FixedState;
+use io_scheduler::Outcome;
 use std::hash::BuildHasher;
 
-/// Recognizes duplicate replies on one connection. Only values are recognized: an error or a
-/// rejection may well be the reply to several requests in a row.
+/// Recognizes duplicate replies on one connection.
 #[derive(Default)]
 pub(super) struct DuplicateReplies {
-    /// The last value that was used for a request; `None` if the last reply had none.
-    previous: Option<ValueFingerprint>,
+    /// The last reply that was used for a request; `None` on a new connection.
+    previous: Option<Fingerprint>,
     /// A reply that equals the previous one and waits for the reply to the barrier.
     held: Option<AttemptResult>,
     /// Whether the reply to a barrier is outstanding.
     is_barrier_outstanding: bool,
 }
 
-/// What is remembered of a value. Equal values have equal fingerprints; the opposite need not hold.
+/// What is remembered of a reply. Equal replies have equal fingerprints; the opposite need not
+/// hold.
 ///
-/// The reports of a reply are left out, since they may differ between the reply and its duplicate.
+/// Reports are left out, since they may differ between a reply and its duplicate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ValueFingerprint {
-    /// Length in bytes.
-    length: usize,
-    /// Hash of the bytes.
-    hash: u64,
+enum Fingerprint {
+    /// A value.
+    Value {
+        /// Length in bytes.
+        length: usize,
+        /// Hash of the bytes.
+        hash: u64,
+    },
+    /// An error or a rejection.
+    NotServed(Outcome),
 }
 
-impl ValueFingerprint {
-    /// Returns the fingerprint of a reply's value; `None` if it has none.
-    fn of(result: &AttemptResult) -> Option<ValueFingerprint> {
-        let value = value_of(result)?;
-        Some(ValueFingerprint {
-            length: value.len(),
-            hash: FixedState::default().hash_one(value),
-        })
+impl Fingerprint {
+    /// Returns the fingerprint of a reply.
+    fn of(result: &AttemptResult) -> Fingerprint {
+        match value_of(result) {
+            Some(value) => Fingerprint::Value {
+                length: value.len(),
+                hash: FixedState::default().hash_one(value),
+            },
+            None => Fingerprint::NotServed(result.outcome),
+        }
     }
 }
 
@@ -58,9 +66,8 @@
 impl DuplicateReplies {
     /// Decides on a reply that is not the reply to a barrier.
     pub(super) fn judge(&mut self, result: AttemptResult) -> Verdict {
-        let fingerprint = ValueFingerprint::of(&result);
-        let equals_previous = fingerprint.is_some() && fingerprint == self.previous;
-        self.previous = fingerprint;
+        let fingerprint = Fingerprint::of(&result);
+        let equals_previous = self.previous.replace(fingerprint) == Some(fingerprint);
         let is_second_since_barrier = self.held.take().is_some();
         if is_second_since_barrier || !equals_previous {
             return Verdict::Use(result);
--- a/crates/gateway/src/node_protocol/resp/reply.rs
+++ b/crates/gateway/src/node_protocol/resp/reply.rs
@@ -6,7 +6,7 @@
 use super::reader::{ReadError, ReplyReader, RespValue, MAX_LENGTH_LINE_BYTES};
 use super::usage_report::UsageReport;
 use crate::node_protocol::ProtocolError;
-use crate::resp_wire_names::BUSY_ERROR;
+use crate::resp_wire_names::{BUSY_ERROR, FAILED_ERROR};
 use crate::storage_request::{AttemptResult, ResponseBody};
 use io_scheduler::Outcome;
 
@@ -59,7 +59,7 @@
     max_value_length: usize,
 ) -> Result<ReplyContent, ReadError> {
     match reader.read_line()? {
-        [b'-', text @ ..] => Ok(ReplyContent::Result(error_result(text))),
+        [b'-', text @ ..] => Ok(ReplyContent::Result(error_result(text)?)),
         SERVED_LINE => read_served_result(reader, max_value_length).map(ReplyContent::Result),
         BARRIER_LINE => Ok(ReplyContent::Barrier),
         _ => Err(ProtocolError::UnexpectedType.into()),
@@ -86,13 +86,17 @@
 }
 
 /// Returns the result for an error line, given without its leading `-`. The error [`BUSY_ERROR`]
-/// means that the node is overloaded; any other may contain a usage report.
-fn error_result(text: &[u8]) -> AttemptResult {
-    let error_name = text.split(|byte| *byte == b' ').next();
-    if error_name == Some(BUSY_ERROR.as_bytes()) {
-        return AttemptResult::without_body(Outcome::Overloaded);
+/// means that the node is overloaded; [`FAILED_ERROR`] may contain a usage report. Any other line
+/// is not the reply to a request.
+fn error_result(text: &[u8]) -> Result<AttemptResult, ProtocolError> {
+    let error_name = text.split(|byte| *byte == b' ').next().unwrap_or_default();
+    if error_name == BUSY_ERROR.as_bytes() {
+        return Ok(AttemptResult::without_body(Outcome::Overloaded));
     }
-    UsageReport::parse(text).into_result(Outcome::Error, None)
+    if error_name == FAILED_ERROR.as_bytes() {
+        return Ok(UsageReport::parse(text).into_result(Outcome::Error, None));
+    }
+    Err(ProtocolError::UnknownError)
 }
 
 /// Returns the declared length in bytes of a value that is not complete yet, or zero if it is not
--- a/crates/gateway/src/resp_wire_names.rs
+++ b/crates/gateway/src/resp_wire_names.rs
@@ -45,3 +45,6 @@
 
 /// Name of the error with which an overloaded gateway or node rejects a request.
 pub(crate) const BUSY_ERROR: &str = "BUSY";
+
+/// Name of the error with which a node replies to a request that has failed.
+pub(crate) const FAILED_ERROR: &str = "ERR";
--- a/crates/soak/src/rig/storage_node.rs
+++ b/crates/soak/src/rig/storage_node.rs
@@ -1,7 +1,7 @@
 //! Storage nodes: they record the attempts that they receive, and respond as the plan demands.
 
 use super::resp::{StreamDecoder, Value};
-use super::wire::{stated_timeout, value_for};
+use super::wire::{stated_timeout, value_for, BARRIER};
 use super::Shared;
 use crate::plan::NodeMode;
 use crate::record::{Event, GatewayIndex, ReceivedAttempt};
@@ -103,6 +103,9 @@
 
     /// Records a command and responds to it. An error ends the connection.
     fn handle(&mut self, command: &Value, first_byte_at: Duration) -> io::Result<()> {
+        if is_barrier(command) {
+            return self.stream.write_all(b"+OK\r\n");
+        }
         let Some((request, options)) = request_of(command) else {
             return self.stream.write_all(b"-ERR unknown command\r\n");
         };
@@ -139,6 +142,14 @@
     }
 }
 
+/// Returns whether a command has no effect and is replied to with `+OK`.
+fn is_barrier(command: &Value) -> bool {
+    let Value::Array(words) = command else {
+        return false;
+    };
+    matches!(words.first(), Some(Value::Bulk(Some(name))) if name == BARRIER)
+}
+
 /// Returns the id and the options of a request; `None` for another command.
 fn request_of(command: &Value) -> Option<(&str, &str)> {
     let Value::Array(words) = command else {
--- a/crates/soak/src/rig/wire.rs
+++ b/crates/soak/src/rig/wire.rs
@@ -3,6 +3,9 @@
 use crate::record::NodeStatus;
 use std::time::Duration;
 
+/// The command that a gateway sends to a node as a barrier.
+pub(super) const BARRIER: &str = "SELECT";
+
 /// Returns the word for the status of a node in the endpoint list.
 pub(super) fn status_word(status: NodeStatus) -> &'static str {
     match status {
