Count a node as in service from the begin of the write that notifies a gateway

Cause: the rig recorded the time of a notification after its write. A gateway may read the notification and send a request before that record. The judge then still took the node for draining, since the drain before it. Change: the record has both times, and the judge uses the begin for a node that comes into service and the end for one that leaves it. The same holds for the list of a new watch. Result: the new test of the judge has an attempt just before and just after each of the two times; it fails if the end counts for both.

--- a/crates/soak/src/judge/history.rs
+++ b/crates/soak/src/judge/history.rs
@@ -68,6 +68,18 @@
     pub status: NodeStatus,
 }
 
+impl StatusChange {
+    /// Returns the change that a gateway gets at some moment of a write. It may use a node from the
+    /// first moment on, and need not leave a node before the last one.
+    fn written(status: NodeStatus, began_at: Duration, ended_at: Duration) -> StatusChange {
+        let at = match status {
+            NodeStatus::InService => began_at,
+            NodeStatus::Draining | NodeStatus::Removed => ended_at,
+        };
+        StatusChange { at, status }
+    }
+}
+
 /// The records, arranged.
 pub struct History<'a> {
     /// All records in the order of time.
@@ -149,17 +161,16 @@
                 connection.closed_at.get_or_insert(record.at);
             }
             Event::ListChanged { node, status } => {
-                let change = StatusChange {
-                    at: record.at,
-                    status: *status,
-                };
+                let (at, status) = (record.at, *status);
+                let change = StatusChange { at, status };
                 self.changes.entry(node).or_default().push(change);
             }
-            Event::Notified { node, status } => {
-                let change = StatusChange {
-                    at: record.at,
-                    status: *status,
-                };
+            Event::Notified {
+                node,
+                status,
+                write_began_at,
+            } => {
+                let change = StatusChange::written(*status, *write_began_at, record.at);
                 let key = (gateway, node.as_str());
                 self.notifications.entry(key).or_default().push(change);
             }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -96,6 +96,8 @@
         node: String,
         /// Its status.
         status: NodeStatus,
+        /// When the write began. The gateway may have read the status before the write returned.
+        write_began_at: Duration,
     },
     /// Discovery cannot be reached from now on.
     DiscoveryDown,
--- a/crates/soak/src/rig/discovery.rs
+++ b/crates/soak/src/rig/discovery.rs
@@ -143,10 +143,14 @@
             watches, written, ..
         } = &mut *state;
         for watch in watches {
+            let write_began_at = self.shared.recorder.now();
             if watch.write_chunk(&update).is_ok() {
                 written[watch.gateway] = list.clone();
-                let node = name.clone();
-                let event = Event::Notified { node, status };
+                let event = Event::Notified {
+                    node: name.clone(),
+                    status,
+                    write_began_at,
+                };
                 self.shared.recorder.add(watch.gateway, event);
             }
         }
@@ -222,11 +226,13 @@
             is_silent: false,
         };
         let list = state.snapshot();
+        let write_began_at = self.shared.recorder.now();
         watch.write_chunk(&(list_update(list.version, true, &list.entries) + "\n"))?;
         for node in &state.nodes {
             let event = Event::Notified {
                 node: node.name.clone(),
                 status: node.status,
+                write_began_at,
             };
             self.shared.recorder.add(gateway, event);
         }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -65,8 +65,18 @@
 
 /// Returns the event for a status that discovery writes to the gateway.
 fn notified(at_ms: u64, status: NodeStatus) -> Record {
-    let node = "s".to_owned();
-    event(at_ms, Event::Notified { node, status })
+    notified_during(at_ms, at_ms, status)
+}
+
+/// Returns the event for a status that discovery writes to the gateway in a write that takes some
+/// time.
+fn notified_during(began_at_ms: u64, ended_at_ms: u64, status: NodeStatus) -> Record {
+    let notified = Event::Notified {
+        node: "s".to_owned(),
+        status,
+        write_began_at: ms(began_at_ms),
+    };
+    event(ended_at_ms, notified)
 }
 
 /// Returns the rules that the records violate, after a process that is ready at once.
@@ -274,6 +284,36 @@
     assert_eq!(violated(&records(3_500)), [Rule::Drain]);
 }
 
+/// Guards against judging a gateway by a write that it has read before the rig records its end.
+#[test]
+fn node_counts_as_in_service_from_the_begin_and_as_draining_from_the_end_of_the_write() {
+    let returned = |attempt_at| {
+        [
+            changed(1_000, NodeStatus::Draining),
+            notified(1_000, NodeStatus::Draining),
+            changed(2_000, NodeStatus::InService),
+            notified_during(2_000, 2_010, NodeStatus::InService),
+            sent(attempt_at - 1, true),
+            attempt(attempt_at, 900),
+            reply(attempt_at + 5, ReplyKind::Served),
+        ]
+    };
+    assert!(violated(&returned(2_001)).is_empty());
+    assert_eq!(violated(&returned(1_999)), [Rule::Drain]);
+
+    let drained = |attempt_at| {
+        [
+            changed(1_000, NodeStatus::Draining),
+            notified_during(1_000, 1_010, NodeStatus::Draining),
+            sent(attempt_at - 1, true),
+            attempt(attempt_at, 900),
+            reply(attempt_at + 5, ReplyKind::Served),
+        ]
+    };
+    assert!(violated(&drained(1_310)).is_empty());
+    assert_eq!(violated(&drained(1_311)), [Rule::Drain]);
+}
+
 #[test]
 fn node_that_is_in_service_again_may_be_used() {
     let records = [
