Reserve memory for replies that will wait behind an earlier reply of their client

Cause: the budget for unsent replies was checked against replies that exist. A command behind an unanswered one was sent on although nothing bounded what its reply would add, up to 32 values of 64 KiB a client. Clients that don't read and input buffers of nodes were ruled out (post-mortem). Change: the largest reply is reserved for each command whose reply may have to wait, and such a command is run only if the budget has room for it. The first command of a connection is always run; no reply is dropped. Why it works: what waits is at most what was reserved. A command that waits for room has an earlier command of its connection in flight, whose reply runs it, so that nothing stalls. Still missing of the issue's point: one budget for all buffers, and its use in the status and the log.

--- a/crates/gateway/src/connections/client/client_connections.rs
+++ b/crates/gateway/src/connections/client/client_connections.rs
@@ -30,6 +30,9 @@
     /// Total bytes of encoded replies, over all connections, that have not been written to a socket
     /// yet.
     pub(super) unsent_bytes: usize,
+    /// Total bytes reserved, over all connections, for replies that are not encoded yet and will
+    /// have to wait for earlier ones.
+    pub(super) reserved_reply_bytes: usize,
     /// Total capacity in bytes of the input buffers of all connections. Between turns the buffers
     /// contain mostly incomplete commands.
     pub(super) partial_command_bytes: usize,
@@ -54,6 +57,7 @@
             count: 0,
             requesting_clients: 0,
             unsent_bytes: 0,
+            reserved_reply_bytes: 0,
             partial_command_bytes: 0,
             eviction_queue: EvictionQueue::default(),
         }
--- a/crates/gateway/src/connections/client/closing.rs
+++ b/crates/gateway/src/connections/client/closing.rs
@@ -125,6 +125,9 @@
         self.count -= 1;
         self.remove_from_requesting_clients(&mut client);
         client.counted_unsent_bytes.set(0, &mut self.unsent_bytes);
+        client
+            .counted_reserved_reply_bytes
+            .set(0, &mut self.reserved_reply_bytes);
         client
             .counted_partial_command_bytes
             .set(0, &mut self.partial_command_bytes);
--- a/crates/gateway/src/connections/client/commands.rs
+++ b/crates/gateway/src/connections/client/commands.rs
@@ -1,7 +1,7 @@
 //! Parsing the commands of a client, submitting their requests and writing the replies.
 
 use super::client_connections::ClientConnections;
-use super::connection::{ClientConnection, MAX_UNSENT_BYTES};
+use super::connection::{ClientConnection, MAX_REPLY_BYTES, MAX_UNSENT_BYTES};
 use super::eviction_queue::EvictionRank;
 use crate::client_protocol::ParsedCommand;
 use crate::context::Context;
@@ -73,11 +73,16 @@
         self.store(client, &mut context.timers);
     }
 
-    /// Returns whether the limits allow another command of a connection to be run. While the unsent
-    /// replies of all clients exceed their budget, each client may have only one pending reply.
+    /// Returns whether the limits allow another command of a connection to be run.
+    ///
+    /// The reply to a command behind another one may have to wait for the earlier reply. Such a
+    /// command is run only if the largest reply fits into the budget for unsent replies. The
+    /// first pending command of a connection is always run.
     fn may_run_command(&self, client: &ClientConnection, context: &Context) -> bool {
-        let over_budget = self.unsent_bytes >= context.config.memory_budget.unsent_reply_bytes;
-        client.may_parse_command() && (!over_budget || client.replies.is_empty())
+        let held_bytes = self.unsent_bytes + self.reserved_reply_bytes;
+        let budget = context.config.memory_budget.unsent_reply_bytes;
+        let is_within_budget = held_bytes + MAX_REPLY_BYTES <= budget;
+        client.may_parse_command() && (is_within_budget || client.replies.is_empty())
     }
 
     /// Parses and runs commands until no complete one is left or a limit on pending replies is
@@ -104,6 +109,7 @@
                 ParsedCommand::Submit(requests) => self.submit(client, requests, context),
             }
             client.record_command(context.now);
+            self.count_replies(client);
         }
         ParsedInput {
             bytes: position,
@@ -164,11 +170,20 @@
         if client.socket.unsent_bytes() < unsent_before {
             client.last_active_at = now;
         }
+        self.count_replies(client);
+        result
+    }
+
+    /// Updates the totals of unsent and of reserved bytes of replies.
+    fn count_replies(&mut self, client: &mut ClientConnection) {
         let unsent_bytes = client.unsent_bytes();
         client
             .counted_unsent_bytes
             .set(unsent_bytes, &mut self.unsent_bytes);
-        result
+        let reserved_bytes = client.reserved_reply_bytes();
+        client
+            .counted_reserved_reply_bytes
+            .set(reserved_bytes, &mut self.reserved_reply_bytes);
     }
 
     /// Returns whether to disconnect a client because it reads its replies too slowly: it has more
--- a/crates/gateway/src/connections/client/connection.rs
+++ b/crates/gateway/src/connections/client/connection.rs
@@ -20,6 +20,9 @@
 /// Maximum unsent reply bytes of one connection. Once they are reached, no further command is
 /// parsed.
 pub(super) const MAX_UNSENT_BYTES: usize = 64 << 10;
+/// Memory that is reserved for the reply to a request, in bytes: the largest value that the
+/// protocol allows, and its length line.
+pub(super) const MAX_REPLY_BYTES: usize = (64 << 10) + (1 << 10);
 /// Time limit, in microseconds, for the first complete command of a connection, and for completing
 /// any command whose first bytes have arrived. Without it, silent clients would occupy descriptors
 /// that other clients need.
@@ -56,6 +59,8 @@
     pub(super) eviction_candidate: Option<EvictionCandidate>,
     /// The connection's contribution to [`super::ClientConnections::unsent_bytes`].
     pub(super) counted_unsent_bytes: CountedBytes,
+    /// The connection's contribution to [`super::ClientConnections::reserved_reply_bytes`].
+    pub(super) counted_reserved_reply_bytes: CountedBytes,
     /// The connection's contribution to [`super::ClientConnections::partial_command_bytes`].
     pub(super) counted_partial_command_bytes: CountedBytes,
 }
@@ -104,6 +109,7 @@
             partial_command_since: None,
             eviction_candidate: None,
             counted_unsent_bytes: CountedBytes::default(),
+            counted_reserved_reply_bytes: CountedBytes::default(),
             counted_partial_command_bytes: CountedBytes::default(),
         }
     }
@@ -129,6 +135,11 @@
         self.socket.unsent_bytes() + self.replies.encoded_bytes()
     }
 
+    /// Returns the bytes that have to be reserved for replies that will wait for earlier ones.
+    pub(super) fn reserved_reply_bytes(&self) -> usize {
+        self.replies.awaiting_behind_first() * MAX_REPLY_BYTES
+    }
+
     /// Returns whether every command that was run has been replied to and all replies are written.
     pub(super) fn is_fully_replied(&self) -> bool {
         self.replies.is_empty() && self.socket.unsent_bytes() == 0
--- a/crates/gateway/src/connections/client/reply_queue.rs
+++ b/crates/gateway/src/connections/client/reply_queue.rs
@@ -13,6 +13,10 @@
     pending: VecDeque<PendingReply>,
     /// Number of the next command.
     next_command_number: CommandNumber,
+    /// Number of pending replies that are not encoded.
+    awaiting: usize,
+    /// Total bytes of the encoded replies that are pending.
+    encoded_bytes: usize,
 }
 
 /// The reply to one command.
@@ -51,11 +55,13 @@
 
     /// Adds the encoded reply to the next command.
     pub(super) fn push_encoded(&mut self, bytes: Vec<u8>) {
+        self.encoded_bytes += bytes.len();
         self.push(ReplyContent::Encoded(bytes));
     }
 
     /// Adds a pending reply to the next command, which has submitted these requests.
     pub(super) fn push_awaiting(&mut self, requests: Vec<RequestId>) {
+        self.awaiting += 1;
         self.push(ReplyContent::AwaitingResponses(requests));
     }
 
@@ -76,10 +82,17 @@
         else {
             return Vec::new();
         };
+        self.encoded_bytes += reply.bytes.len();
         let encoded = ReplyContent::Encoded(reply.bytes);
         match std::mem::replace(&mut pending.content, encoded) {
-            ReplyContent::AwaitingResponses(requests) => requests,
-            ReplyContent::Encoded(_) => Vec::new(),
+            ReplyContent::AwaitingResponses(requests) => {
+                self.awaiting -= 1;
+                requests
+            }
+            ReplyContent::Encoded(replaced) => {
+                self.encoded_bytes -= replaced.len();
+                Vec::new()
+            }
         }
     }
 
@@ -90,6 +103,7 @@
             ..
         }) = self.pending.front_mut()
         {
+            self.encoded_bytes -= bytes.len();
             output.append(bytes);
             self.pending.pop_front();
         }
@@ -97,11 +111,13 @@
 
     /// Returns the total bytes of encoded replies that wait for earlier ones.
     pub(super) fn encoded_bytes(&self) -> usize {
-        let lengths = self.pending.iter().map(|reply| match &reply.content {
-            ReplyContent::Encoded(bytes) => bytes.len(),
-            ReplyContent::AwaitingResponses(_) => 0,
-        });
-        lengths.sum()
+        self.encoded_bytes
+    }
+
+    /// Returns how many replies are not encoded and will have to wait for earlier ones. The first
+    /// pending reply is sent as soon as it is encoded.
+    pub(super) fn awaiting_behind_first(&self) -> usize {
+        self.awaiting.saturating_sub(1)
     }
 
     /// Returns the requests of all commands that wait for responses, in the order of the commands.
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -17,9 +17,10 @@
     /// Total bytes of the bodies of unfinished requests. A request that would make the total exceed
     /// this limit is rejected.
     pub request_body_bytes: usize,
-    /// Total bytes of encoded replies that have not been written to clients yet. Above this limit,
-    /// each client gets one reply at a time; above twice this limit, clients that read too slowly
-    /// are disconnected.
+    /// Total bytes of replies that have not been written to clients yet, and of the memory that is
+    /// reserved for replies that will have to wait for earlier ones. A command that would make the
+    /// total exceed this limit is run only if its client has no pending reply; above twice this
+    /// limit, clients that read too slowly are disconnected.
     pub unsent_reply_bytes: usize,
     /// Total bytes of incomplete commands. Above this limit, a client that sends only a part of a
     /// command is disconnected.
--- a/crates/gateway/tests/gateway_process/harness/config.rs
+++ b/crates/gateway/tests/gateway_process/harness/config.rs
@@ -57,6 +57,15 @@
     replace_setting(config, "\"sockets\":256", "\"sockets\":1024")
 }
 
+/// Limits the gateway to 32 MiB of memory.
+pub fn with_32_mib_of_memory(config: &str) -> String {
+    replace_setting(
+        config,
+        "\"sockets\":256",
+        "\"sockets\":256,\"memory_mb\":32",
+    )
+}
+
 /// Sets the log level to `debug`.
 pub fn with_debug_log(config: &str) -> String {
     replace_setting(config, "\"seed\"", "\"log\":\"debug\",\"seed\"")
--- a/crates/gateway/tests/gateway_process/harness/connection.rs
+++ b/crates/gateway/tests/gateway_process/harness/connection.rs
@@ -7,6 +7,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// How the gateway ended a connection.
@@ -50,6 +51,12 @@
         )
     }
 
+    /// Accepts the next connection, however long it takes.
+    pub fn accept_at_any_time(listener: &TcpListener) -> Self {
+        let accepted = listener.accept();
+        Self::new(accepted.expect("accepting the connection should succeed").0)
+    }
+
     fn new(stream: TcpStream) -> Self {
         stream
             .set_read_timeout(Some(TEST_TIMEOUT))
@@ -85,6 +92,29 @@
         self.send(encode_value_response(value));
     }
 
+    /// As a node: responds to each request with the same bytes, and to each barrier, until the
+    /// gateway ends the connection. Counts the requests.
+    pub fn respond_until_closed(&mut self, response: &str, count: &AtomicUsize) {
+        loop {
+            let mut position = 0;
+            let Some(command) = decode_value(&self.input, &mut position) else {
+                let mut bytes = [0; 16 << 10];
+                match self.stream.read(&mut bytes) {
+                    Ok(length) if length > 0 => self.input.extend_from_slice(&bytes[..length]),
+                    _ => return,
+                }
+                continue;
+            };
+            self.input.drain(..position);
+            if command.starts_with("SELECT") {
+                self.send_after_close("+OK\r\n");
+                continue;
+            }
+            count.fetch_add(1, Ordering::SeqCst);
+            self.send_after_close(response);
+        }
+    }
+
     /// Reads once; returns how the connection ended, or `None` if bytes were received.
     fn read_once(&mut self) -> Option<ConnectionEnd> {
         let mut bytes = [0; 64 << 10];
--- a/crates/gateway/tests/gateway_process/harness/node.rs
+++ b/crates/gateway/tests/gateway_process/harness/node.rs
@@ -2,8 +2,12 @@
 
 use super::connection::Connection;
 use super::discovery::{encode_endpoint_entry, EndpointEntry};
+use super::requests::encode_value_response;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::AtomicUsize;
+use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 /// A listening storage node. The test accepts the gateway's connections and responds on them.
@@ -46,6 +50,24 @@
         connection
     }
 
+    /// Responds to all requests with this value, on threads that end with the test process. Returns
+    /// the number of requests so far.
+    pub fn respond_in_background(&self, value: &str) -> Arc<AtomicUsize> {
+        let listener = self
+            .listener
+            .try_clone()
+            .expect("the listener should be usable by a thread");
+        let response = encode_value_response(value);
+        let count = Arc::new(AtomicUsize::new(0));
+        let total = Arc::clone(&count);
+        thread::spawn(move || loop {
+            let mut connection = Connection::accept_at_any_time(&listener);
+            let (response, count) = (response.clone(), Arc::clone(&count));
+            thread::spawn(move || connection.respond_until_closed(&response, &count));
+        });
+        total
+    }
+
     /// Checks that the gateway has opened no connection that the test has not accepted.
     #[track_caller]
     pub fn expect_no_further_connection(&self) {
--- a/crates/gateway/tests/gateway_process/races/pipelining.rs
+++ b/crates/gateway/tests/gateway_process/races/pipelining.rs
@@ -2,8 +2,12 @@
 //! earlier ones.
 
 use crate::harness::cluster::{serve_request, TestCluster};
+use crate::harness::config::with_32_mib_of_memory;
 use crate::harness::requests::encode_read_request;
 use crate::harness::resp::encode_command;
+use crate::harness::wait_until;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 /// The longest value that a node may send, in bytes. A reply with it is longer than the gateway
 /// lets replies of one client grow before it stops to parse the client's commands.
@@ -32,3 +36,50 @@
     }
     serve_request(&mut node, &mut client, "a2", "two");
 }
+
+/// The number of pipelined clients, each of which sends as many commands as may wait for a reply.
+const PIPELINED_CLIENT_COUNT: usize = 4;
+/// The number of commands of a client that may wait for a reply.
+const PIPELINED_COMMAND_COUNT: usize = 32;
+/// A twelfth of 32 MiB, which is the budget for replies that are not written.
+const REPLY_BUDGET_BYTES: usize = (32 << 20) / 12;
+/// How long the node that responds gets for more requests than the budget allows.
+const OBSERVATION_TIME: Duration = Duration::from_millis(500);
+
+/// Clients send many reads at once. The node of each client's first read does not respond, so that
+/// the values of its other reads have to wait in the gateway. Guards against buffering more values
+/// than the memory budget allows, and against losing the replies that had to wait for room.
+#[test]
+fn values_that_wait_for_an_earlier_reply_do_not_exceed_their_budget() {
+    let cluster = TestCluster::start_with(with_32_mib_of_memory);
+    let value = "v".repeat(MAX_VALUE_BYTES);
+    let response_count = cluster.node_b.respond_in_background(&value);
+    let mut clients: Vec<_> = (0..PIPELINED_CLIENT_COUNT)
+        .map(|client| {
+            let requests = (0..PIPELINED_COMMAND_COUNT).map(|number| {
+                let request = encode_read_request(&format!("r{client}-{number}"));
+                let shard = usize::from(number > 0);
+                request.replace("shard=0", &format!("shard={shard}"))
+            });
+            cluster
+                .gateway
+                .connect_and_send(requests.collect::<String>())
+        })
+        .collect();
+
+    // Node A has accepted no connection yet, so that each client's first read has no response.
+    wait_until(Instant::now() + OBSERVATION_TIME);
+    let waiting_bytes = response_count.load(Ordering::SeqCst) * MAX_VALUE_BYTES;
+    assert!(
+        waiting_bytes <= REPLY_BUDGET_BYTES,
+        "{waiting_bytes} bytes of values wait in the gateway"
+    );
+
+    cluster.node_a.respond_in_background("first");
+    for client in &mut clients {
+        client.expect_value("first");
+        for _ in 1..PIPELINED_COMMAND_COUNT {
+            client.expect_value(&value);
+        }
+    }
+}
