Check the window of an idempotency key at the write of a retry

Callers would see: a write with an idempotency key runs twice. Cause: the window was checked when the retry was dispatched. The retry then waited for its connection and was written whenever that came up. Evidence: with the check at the write switched off, the new test on real sockets fails, since the node gets the write again; with it, it passes. Change: the scheduler states with each attempt the time before which it has to be written, and the gateway checks it at the write, beside the drain and the timeout. A late attempt ends as not dispatched, which is no fault of the node. Why it works: the time counts from the dispatch of the first attempt, which is before the node can have begun it.

--- a/crates/gateway/src/connections/node/attempts.rs
+++ b/crates/gateway/src/connections/node/attempts.rs
@@ -160,8 +160,9 @@
 }
 
 /// Returns why the request of a connection's attempt must not be written now, if there is a reason:
-/// its node has been draining for too long, or the attempt has timed out. The turn may have been
-/// held up, so the actual time counts.
+/// its node has been draining for too long, the attempt has timed out, or nodes would no longer
+/// recognize the request as a duplicate of an earlier attempt. The turn may have been held up, and
+/// the connection may have been established late, so the actual time counts.
 fn check_write(connection: &NodeConnection, context: &Context) -> Result<(), AbortCause> {
     let Some(in_flight) = &connection.in_flight else {
         return Ok(());
@@ -170,9 +171,13 @@
     if !context.dispatcher.may_write(connection.node, now) {
         return Err(AbortCause::WriteDeadlinePassed);
     }
-    if in_flight.attempt.times_out_at <= now {
+    let limits = &in_flight.attempt.limits;
+    if limits.times_out_at <= now {
         return Err(AbortCause::TimedOut);
     }
+    if limits.write_before.is_some_and(|limit| limit <= now) {
+        return Err(AbortCause::DeduplicationWindowPassed);
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/connections/node/connection.rs
+++ b/crates/gateway/src/connections/node/connection.rs
@@ -8,7 +8,7 @@
 use crate::context::MICROS_PER_MILLISECOND;
 use crate::endpoint::Protocol;
 use crate::node_protocol::{resp, sftp, NodeProtocol, ProtocolError};
-use crate::storage_request::{AttemptId, AttemptResult, StorageRequest};
+use crate::storage_request::{AttemptId, AttemptLimits, AttemptResult, StorageRequest};
 use crate::timer_queue::TimerQueue;
 use io_scheduler::{Micros, NodeId};
 use std::io;
@@ -51,8 +51,8 @@
     pub(crate) id: AttemptId,
     /// The node to send the request to.
     pub(crate) node: NodeId,
-    /// When the attempt times out.
-    pub(crate) times_out_at: Micros,
+    /// The times that limit the attempt.
+    pub(crate) limits: AttemptLimits,
     /// The request to send.
     pub(crate) request: Arc<StorageRequest>,
 }
@@ -210,7 +210,7 @@
             return;
         };
         let attempt = &in_flight.attempt;
-        let wait_ms = (attempt.times_out_at - now) / MICROS_PER_MILLISECOND;
+        let wait_ms = (attempt.limits.times_out_at - now) / MICROS_PER_MILLISECOND;
         let start_offset = self.socket.bytes_sent + self.socket.unsent_bytes() as u64;
         let output = self.socket.output();
         let bytes_before_execution =
--- a/crates/gateway/src/dispatcher/attempts.rs
+++ b/crates/gateway/src/dispatcher/attempts.rs
@@ -4,25 +4,26 @@
 use super::command::Command;
 use super::state::Dispatcher;
 use super::unfinished_request::AwaitedAttempt;
-use crate::storage_request::{AttemptId, AttemptResult, Response};
+use crate::storage_request::{AttemptId, AttemptLimits, AttemptResult, Response};
 use crate::timer_queue::{DispatcherTimer, TimerQueue};
 use io_scheduler::{CompletedAttempt, Event, Micros, NodeId, Outcome, RequestId, Units};
 use std::sync::Arc;
 
 impl Dispatcher {
     /// Starts an attempt at a node, unless the request is already finished. The attempt is aborted
-    /// if it has no result at the time `times_out_at`.
+    /// if it has no result when it times out.
     pub(super) fn dispatch(
         &mut self,
         id: RequestId,
         node: NodeId,
-        times_out_at: Micros,
+        limits: AttemptLimits,
         now: Micros,
         timers: &mut TimerQueue,
     ) {
         let Some(unfinished) = self.requests.get_mut(id) else {
             return;
         };
+        let times_out_at = limits.times_out_at;
         let number = unfinished.start_attempt(node, now, times_out_at);
         let request = Arc::clone(unfinished.storage_request());
         let attempt = AttemptId {
@@ -43,7 +44,7 @@
         self.commands.push(Command::StartAttempt {
             attempt,
             node,
-            times_out_at,
+            limits,
             request,
         });
     }
--- a/crates/gateway/src/dispatcher/command.rs
+++ b/crates/gateway/src/dispatcher/command.rs
@@ -1,7 +1,7 @@
 //! Commands from the dispatcher to the event loop.
 
-use crate::storage_request::{AttemptId, ReplySlot, Response, StorageRequest};
-use io_scheduler::{Micros, NodeId};
+use crate::storage_request::{AttemptId, AttemptLimits, ReplySlot, Response, StorageRequest};
+use io_scheduler::NodeId;
 use std::sync::Arc;
 
 /// A command for the event loop, which runs commands in the order in which they were issued.
@@ -13,8 +13,8 @@
         attempt: AttemptId,
         /// The node that the request is forwarded to.
         node: NodeId,
-        /// When the attempt times out.
-        times_out_at: Micros,
+        /// The times that limit the attempt.
+        limits: AttemptLimits,
         /// The request to forward.
         request: Arc<StorageRequest>,
     },
--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -3,7 +3,7 @@
 use super::abort_cause::AbortCause;
 use super::command::Command;
 use super::state::Dispatcher;
-use crate::storage_request::{AttemptId, Response};
+use crate::storage_request::{AttemptId, AttemptLimits, Response};
 use crate::timer_queue::{DispatcherTimer, TimerQueue};
 use io_scheduler::{Action, Event, Micros};
 
@@ -80,8 +80,13 @@
                 request,
                 node,
                 times_out_at,
+                write_before,
             } => {
-                self.dispatch(request, node, times_out_at, now, timers);
+                let limits = AttemptLimits {
+                    times_out_at,
+                    write_before,
+                };
+                self.dispatch(request, node, limits, now, timers);
             }
             Action::Reject {
                 request,
--- a/crates/gateway/src/event_loop/events.rs
+++ b/crates/gateway/src/event_loop/events.rs
@@ -104,13 +104,13 @@
             Command::StartAttempt {
                 attempt,
                 node,
-                times_out_at,
+                limits,
                 request,
             } => {
                 let attempt = AttemptSpec {
                     id: attempt,
                     node,
-                    times_out_at,
+                    limits,
                     request,
                 };
                 self.node_connections.start_attempt(attempt, context);
--- a/crates/gateway/src/storage_request/attempt.rs
+++ b/crates/gateway/src/storage_request/attempt.rs
@@ -1,7 +1,7 @@
 //! Ids and results of the attempts of a request.
 
 use super::response::ResponseBody;
-use io_scheduler::{Outcome, RequestId, Units};
+use io_scheduler::{Micros, Outcome, RequestId, Units};
 
 /// Identifies an attempt of a request at a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -12,6 +12,16 @@
     pub number: u32,
 }
 
+/// The times that limit an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// When the attempt times out.
+    pub times_out_at: Micros,
+    /// Time before which the request has to be written to the node; `None` if there is no such
+    /// time.
+    pub write_before: Option<Micros>,
+}
+
 /// How an attempt at a node ended.
 #[derive(Clone, Debug)]
 pub struct AttemptResult {
--- a/crates/gateway/src/storage_request/mod.rs
+++ b/crates/gateway/src/storage_request/mod.rs
@@ -8,7 +8,7 @@
 mod request;
 mod response;
 
-pub use attempt::{AttemptId, AttemptResult};
+pub use attempt::{AttemptId, AttemptLimits, AttemptResult};
 pub use reply_slot::{CommandNumber, ReplySlot};
 pub use request::{Operation, RequestParameters, StorageRequest, MAX_VALUE_BYTES};
 pub use response::{InvalidRequest, ObjectEntry, Response, ResponseBody};
--- a/crates/gateway/tests/gateway_process/harness/config.rs
+++ b/crates/gateway/tests/gateway_process/harness/config.rs
@@ -90,6 +90,15 @@
     )
 }
 
+/// Gives writes an idempotency key, which all nodes remember for 1 s.
+pub fn with_idempotency_keys_for_1_s(config: &str) -> String {
+    replace_setting(
+        config,
+        "\"effect\": \"side_effect\"",
+        "\"effect\": \"token\", \"key_ttl_ms\": 1000",
+    )
+}
+
 /// Raises the number of gateways that poll the same discovery service from 1 to 100.
 pub fn with_100_gateways(config: &str) -> String {
     replace_setting(config, "\"group_size\": 1", "\"group_size\": 100")
--- a/crates/gateway/tests/gateway_process/races/node_connections.rs
+++ b/crates/gateway/tests/gateway_process/races/node_connections.rs
@@ -3,8 +3,8 @@
 
 use crate::harness::cluster::{serve_request, TestCluster};
 use crate::harness::config::{
-    with_1024_descriptors, with_drain_grace_of_250_ms, with_long_connect_timeout,
-    with_short_drain_grace,
+    with_1024_descriptors, with_drain_grace_of_250_ms, with_idempotency_keys_for_1_s,
+    with_long_connect_timeout, with_short_drain_grace,
 };
 use crate::harness::discovery::encode_delta_chunk;
 use crate::harness::gateway::MAX_READ_BYTES;
@@ -159,6 +159,32 @@
     node.expect_closed();
 }
 
+/// The nodes remember the key of a write for 1 s. The connection for the retry of a write that may
+/// have been executed is established after that. Guards against executing the write twice.
+#[test]
+fn retry_is_not_written_after_the_window_of_its_idempotency_key() {
+    let mut cluster = TestCluster::start_with(|config| {
+        with_long_connect_timeout(&with_idempotency_keys_for_1_s(config))
+    });
+    cluster.drain_node_b();
+    let sent_at = Instant::now();
+    let mut client = cluster.gateway.connect_and_send(encode_write_request("w1"));
+    let node = cluster.node_a.accept_request("w1");
+    let queue = cluster.node_a.fill_accept_queue();
+    node.reset();
+    cluster.gateway.wait_until_input_is_processed();
+
+    wait_until(sent_at + IDEMPOTENCY_WINDOW);
+    cluster.node_a.empty_accept_queue(&queue);
+    let mut node = cluster.node_a.accept();
+
+    client.expect_busy();
+    assert!(
+        !node.receives_bytes_before(Instant::now() + Duration::from_millis(200)),
+        "the write was sent again after the window"
+    );
+}
+
 /// A node sends a response on an idle connection. The gateway dispatches the next request in a turn
 /// of the event loop before the one in which the unsolicited response is ready. It must not use
 /// that response for the request: it closes the connection and sends the request on a new one.
@@ -184,6 +210,8 @@
     serve_request(&mut node, &mut read.client, "a2", "two");
 }
 
+/// How long nodes remember idempotency keys; see `with_idempotency_keys_for_1_s`.
+const IDEMPOTENCY_WINDOW: Duration = Duration::from_secs(1);
 /// The command that the gateway sends to find out to which request a response belongs.
 const BARRIER: &str = "SELECT 0";
 /// A node's response to [`BARRIER`].
--- a/crates/gateway/tests/in_process/dispatcher/harness.rs
+++ b/crates/gateway/tests/in_process/dispatcher/harness.rs
@@ -190,13 +190,13 @@
             Command::StartAttempt {
                 attempt,
                 node,
-                times_out_at,
+                limits,
                 ..
             } => {
                 started.push(StartedAttempt {
                     id: *attempt,
                     node: *node,
-                    times_out_at: *times_out_at,
+                    times_out_at: limits.times_out_at,
                 });
                 false
             }
--- a/crates/scheduler/src/api/actions.rs
+++ b/crates/scheduler/src/api/actions.rs
@@ -13,6 +13,9 @@
         node: NodeId,
         /// Time at which the attempt times out; never later than the deadline of the request.
         times_out_at: Micros,
+        /// Time before which the request has to be written to the node; `None` if there is no such
+        /// time. A node that gets it later may execute it a second time.
+        write_before: Option<Micros>,
     },
     /// Reject the request: send the client its final response. The client may safely retry.
     Reject {
--- a/crates/scheduler/src/retry/idempotency.rs
+++ b/crates/scheduler/src/retry/idempotency.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// Returns the time before which another attempt has to be written so that nodes recognize it as a
+/// duplicate; `None` if there is no such time.
+pub fn write_before(unfinished: &UnfinishedRequest) -> Option<Micros> {
+    let first = unfinished.first_possibly_executed()?;
+    match unfinished.class().idempotency {
+        Idempotency::WithKey { window, .. } => Some(first.dispatched_at + window),
+        Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+    }
+}
+
 /// Returns whether one node recognizes duplicates of requests that the other has executed.
 fn in_same_deduplication_scope(scope: DeduplicationScope, first: &Node, second: &Node) -> bool {
     match scope {
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::request::latency_objective::misses_objective;
 use crate::request::UnfinishedRequest;
+use crate::retry::idempotency::write_before;
 
 impl Scheduler {
     /// Queues the next request of each key whose quiesce period has ended, and the requests for
@@ -131,11 +132,13 @@
         node.start_attempt(request.units, &self.settings.slow_start, self.now);
         let timeout = times_out_at(node, &timeout_inputs(unfinished), self.now);
         let times_out_at = timeout.min(request.deadline);
+        let write_before = write_before(unfinished);
         unfinished.start_attempt(node_id, self.now);
         self.actions.push(Action::Dispatch {
             request: selected.request,
             node: node_id,
             times_out_at,
+            write_before,
         });
     }
 
--- a/crates/scheduler/tests/characterization/scheduler_adapter.rs
+++ b/crates/scheduler/tests/characterization/scheduler_adapter.rs
@@ -192,6 +192,7 @@
             request,
             node,
             times_out_at,
+            ..
         } => Decision::Dispatch {
             request: request.0,
             node: node.0,
--- a/crates/scheduler/tests/retries.rs
+++ b/crates/scheduler/tests/retries.rs
@@ -6,7 +6,7 @@
     attempt, attempt_completed, default_settings, dispatched_attempts, failed_requests,
     rejected_requests, SchedulerHarness, MILLISECOND, SECOND,
 };
-use io_scheduler::{DeduplicationScope, Event, Idempotency, Micros, Outcome, RetryBudget};
+use io_scheduler::{Action, DeduplicationScope, Event, Idempotency, Micros, Outcome, RetryBudget};
 
 #[test]
 fn non_idempotent_request_is_retried_unless_it_may_have_been_executed() {
@@ -37,6 +37,44 @@
     }
 }
 
+/// A retry may wait for its connection. Guards against writing it when nodes no longer recognize
+/// it.
+#[test]
+fn retry_with_an_idempotency_key_has_to_be_written_within_its_deduplication_window() {
+    let window = 100 * MILLISECOND;
+    let scope = DeduplicationScope::All;
+    for (idempotency, expected) in [
+        (Idempotency::WithKey { scope, window }, Some(window)),
+        (Idempotency::Idempotent, None),
+    ] {
+        let mut settings = default_settings();
+        settings.classes[0].idempotency = idempotency;
+        let mut harness = SchedulerHarness::new(settings, 1);
+        harness.raise_concurrency_limit(0);
+        let request = harness.request(Some(0));
+        let sent_at = harness.now;
+        let first = harness.receive(request);
+        assert_eq!(write_limits(&first), [None]);
+        let completion = attempt_completed(0, 0, 0, Outcome::Error, MILLISECOND);
+        let retry = harness.handle_at(MILLISECOND, &[completion]);
+        assert_eq!(
+            write_limits(&retry),
+            [expected.map(|window| sent_at + window)]
+        );
+    }
+}
+
+/// Returns the times before which the dispatched attempts have to be written.
+fn write_limits(actions: &[Action]) -> Vec<Option<Micros>> {
+    let mut limits = Vec::new();
+    for action in actions {
+        if let Action::Dispatch { write_before, .. } = action {
+            limits.push(*write_before);
+        }
+    }
+    limits
+}
+
 #[test]
 fn request_with_an_idempotency_key_is_retried_only_within_its_deduplication_window() {
     let window = 100 * MILLISECOND;
--- a/crates/simulator-adapter/src/instance/encode.rs
+++ b/crates/simulator-adapter/src/instance/encode.rs
@@ -14,6 +14,7 @@
                 request,
                 node,
                 times_out_at,
+                ..
             } => self.encode_dispatch(request, node, times_out_at),
             Action::Reject {
                 request,
