Pass the digits of an object on unchanged, and accept numbers in the published forms only

Cause: the piece was parsed to a number and written again, and each parser of a number used that of the standard library, which accepts a plus sign: ids, shards, RESP2 lengths of clients and of nodes, chunk sizes and Content-Length. Change: a request keeps the 16 digits as they came. number_text.rs has one parser for decimal numbers, one for hexadecimal ones and one for RESP2 lengths, and every path uses them. Configuration files keep their parsers.

--- a/crates/gateway/src/client_protocol/resp/command_parser.rs
+++ b/crates/gateway/src/client_protocol/resp/command_parser.rs
@@ -1,6 +1,7 @@
 //! Parser for RESP2 commands, which are arrays of bulk strings.
 
 use super::error::SyntaxError;
+use crate::number_text::parse_resp_length;
 use crate::resp_bulk_string::read_bulk_content;
 use crate::storage_request::MAX_VALUE_BYTES;
 
@@ -99,6 +100,5 @@
     let digits = text
         .strip_suffix(b"\r")
         .ok_or(SyntaxError::MissingCarriageReturn)?;
-    let digits = std::str::from_utf8(digits).map_err(|_| SyntaxError::InvalidNumber)?;
-    digits.parse().map_err(|_| SyntaxError::InvalidNumber)
+    parse_resp_length(digits).ok_or(SyntaxError::InvalidNumber)
 }
--- a/crates/gateway/src/client_protocol/resp/parameters.rs
+++ b/crates/gateway/src/client_protocol/resp/parameters.rs
@@ -4,6 +4,7 @@
 use super::error::RequestError;
 use super::schema::RequestSchema;
 use crate::hex_id::HexId;
+use crate::number_text::parse_decimal;
 use crate::resp_wire_names::parameter;
 
 use deployment_settings::micros;
@@ -206,7 +207,8 @@
         if self.value == parameter::UNASSIGNED_SHARD {
             return Ok(ShardParameter::Unassigned);
         }
-        let number = self.value.parse().map_err(|_| self.invalid_value())?;
-        Ok(ShardParameter::Assigned(Shard(number)))
+        let number = parse_decimal(self.value.as_bytes());
+        let shard = number.map(Shard).ok_or_else(|| self.invalid_value())?;
+        Ok(ShardParameter::Assigned(shard))
     }
 }
--- a/crates/gateway/src/client_protocol/resp/request.rs
+++ b/crates/gateway/src/client_protocol/resp/request.rs
@@ -3,7 +3,7 @@
 use super::error::RequestError;
 use super::parameters::ParsedParameters;
 use super::schema::RequestSchema;
-use crate::hex_id::HexId;
+use crate::hex_id::{HexDigits, HexId};
 use crate::storage_request::{Operation, RequestParameters, StorageRequest};
 use io_scheduler::ObjectKey;
 
@@ -26,6 +26,8 @@
 struct DecodedArguments<'a> {
     /// Id of the object.
     object: ObjectKey,
+    /// The same id as the client wrote it.
+    object_digits: HexDigits,
     /// Client request id, already validated.
     client_request_id: &'a str,
     /// Parameter list, not parsed yet.
@@ -38,10 +40,12 @@
         let object = decode_text(self.object)?;
         let client_request_id = decode_text(self.client_request_id)?;
         let parameters = decode_text(self.parameters)?;
-        let HexId(object) = object.parse().map_err(|_| RequestError::InvalidObject)?;
+        let HexId(id) = object.parse().map_err(|_| RequestError::InvalidObject)?;
+        let object_digits = object.parse().map_err(|_| RequestError::InvalidObject)?;
         check_request_id(client_request_id)?;
         Ok(DecodedArguments {
-            object: ObjectKey(object),
+            object: ObjectKey(id),
+            object_digits,
             client_request_id,
             parameters,
         })
@@ -67,6 +71,7 @@
     Ok(StorageRequest {
         operation,
         object: decoded.object,
+        object_digits: decoded.object_digits,
         object_name: None,
         volume,
         client_request_id: decoded.client_request_id.into(),
--- a/crates/gateway/src/client_protocol/sftp/requests.rs
+++ b/crates/gateway/src/client_protocol/sftp/requests.rs
@@ -174,6 +174,7 @@
             operation,
             parameters: self.parameters(class, units, &location),
             object: location.object,
+            object_digits: HexId(location.object.0).into(),
             object_name: location.object_name,
             volume: location.volume.id,
             client_request_id: self.next_client_request_id(),
--- a/crates/gateway/src/discovery/framing.rs
+++ b/crates/gateway/src/discovery/framing.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 framing of the response to a watch: the head, the body and its chunks.
 
 use super::error::{FramingError, WatchError};
+use crate::number_text::{parse_decimal, parse_hexadecimal};
 
 /// Maximum length of the part of the response that an error quotes, in bytes.
 const MAX_QUOTED_BYTES: usize = 80;
@@ -55,7 +56,8 @@
     let invalid_size = || FramingError::InvalidChunkSize(quoted(line));
     let text = std::str::from_utf8(line).map_err(|_| invalid_size())?;
     let digits = text.split(';').next().unwrap_or_default().trim();
-    let size = u32::from_str_radix(digits, 16).map_err(|_| invalid_size())?;
+    let size = parse_hexadecimal(digits.as_bytes()).ok_or_else(invalid_size)?;
+    let size = u32::try_from(size).map_err(|_| invalid_size())?;
     Ok(size as usize)
 }
 
@@ -102,10 +104,11 @@
 
 /// Returns the state at the start of a body with the stated Content-Length.
 fn fixed_length(length: &str) -> Result<ParserState, FramingError> {
-    match length.parse() {
-        Ok(0) => Ok(ParserState::Complete),
-        Ok(remaining) => Ok(ParserState::FixedLength { remaining }),
-        Err(_) => Err(FramingError::InvalidContentLength(quoted(
+    let parsed = parse_decimal(length.as_bytes());
+    match parsed.and_then(|length| usize::try_from(length).ok()) {
+        Some(0) => Ok(ParserState::Complete),
+        Some(remaining) => Ok(ParserState::FixedLength { remaining }),
+        None => Err(FramingError::InvalidContentLength(quoted(
             length.as_bytes(),
         ))),
     }
--- a/crates/gateway/src/hex_id.rs
+++ b/crates/gateway/src/hex_id.rs
@@ -1,7 +1,7 @@
 //! Text encoding of 64-bit ids: 16 hexadecimal digits. The protocols, paths and the console use it.
 
+use crate::number_text::parse_hexadecimal;
 use std::fmt;
-use std::num::ParseIntError;
 use std::str::FromStr;
 
 /// Length of the text form in bytes, one byte per digit.
@@ -11,15 +11,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HexId(pub u64);
 
-/// The error returned when a string cannot be parsed as a [`HexId`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ParseHexIdError {
-    /// The string is not 16 bytes long.
-    #[error("not 16 characters long")]
-    WrongLength,
-    /// The string is not a hexadecimal number.
-    #[error(transparent)]
-    NotHexadecimal(#[from] ParseIntError),
+/// The text form of an id as a client wrote it. Digits may be in upper case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HexDigits([u8; HEX_ID_LENGTH]);
+
+/// The error returned when a string cannot be parsed as a [`HexId`] or as [`HexDigits`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not 16 hexadecimal digits")]
+pub struct ParseHexIdError;
+
+impl HexDigits {
+    /// Returns the digits.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Display for HexId {
@@ -29,15 +35,35 @@
     }
 }
 
+impl From<HexId> for HexDigits {
+    /// Returns the lower-case digits of an id, with leading zeros.
+    fn from(id: HexId) -> HexDigits {
+        let mut digits = [0; HEX_ID_LENGTH];
+        digits.copy_from_slice(id.to_string().as_bytes());
+        HexDigits(digits)
+    }
+}
+
 impl FromStr for HexId {
     type Err = ParseHexIdError;
 
-    /// Parses an id. Accepts upper-case digits and, because [`u64::from_str_radix`] does, a plus
-    /// sign in place of the first digit.
+    /// Parses an id. Accepts digits in upper and lower case.
     fn from_str(text: &str) -> Result<HexId, ParseHexIdError> {
         if text.len() != HEX_ID_LENGTH {
-            return Err(ParseHexIdError::WrongLength);
+            return Err(ParseHexIdError);
         }
-        Ok(HexId(u64::from_str_radix(text, 16)?))
+        let id = parse_hexadecimal(text.as_bytes());
+        id.map(HexId).ok_or(ParseHexIdError)
+    }
+}
+
+impl FromStr for HexDigits {
+    type Err = ParseHexIdError;
+
+    /// Keeps the digits of an id, in upper or lower case.
+    fn from_str(text: &str) -> Result<HexDigits, ParseHexIdError> {
+        text.parse::<HexId>()?;
+        let digits = text.as_bytes().try_into();
+        digits.map(HexDigits).map_err(|_| ParseHexIdError)
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logger;
 pub mod memory_budget;
 pub mod node_protocol;
+pub mod number_text;
 pub mod resp_bulk_string;
 mod resp_wire_names;
 pub mod sftp_packet;
--- a/crates/gateway/src/node_protocol/resp/protocol.rs
+++ b/crates/gateway/src/node_protocol/resp/protocol.rs
@@ -2,7 +2,6 @@
 
 use super::duplicate_replies::{DuplicateReplies, Verdict};
 use super::reply::{declared_value_length, parse_reply, ReplyContent, MAX_REPORT_BYTES};
-use crate::hex_id::HexId;
 use crate::node_protocol::{NodeProtocol, ProtocolError};
 use crate::resp_bulk_string::append_bulk_string;
 use crate::resp_wire_names::command;
@@ -101,8 +100,7 @@
     ) -> usize {
         self.is_awaiting_reply = true;
         let start = out.len();
-        let object = HexId(request.object.0).to_string();
-        let object = object.as_bytes();
+        let object = request.object_digits.as_bytes();
         let id = request.client_request_id.as_bytes();
         let parameters = encode_parameters(&request.parameters, time_limit_ms);
         let parameters = parameters.as_bytes();
--- a/crates/gateway/src/node_protocol/resp/reader.rs
+++ b/crates/gateway/src/node_protocol/resp/reader.rs
@@ -2,6 +2,7 @@
 //! detected immediately instead of when the request times out.
 
 use crate::node_protocol::ProtocolError;
+use crate::number_text::parse_resp_length;
 use crate::resp_bulk_string::{read_bulk_content, MissingTerminator};
 
 /// Maximum length of a length line, such as `*3` or `$5`, in bytes.
@@ -150,6 +151,5 @@
 
 /// Parses the number in a length line, given without its leading `$` or `*`.
 fn parse_length(text: &[u8]) -> Result<i64, ProtocolError> {
-    let text = std::str::from_utf8(text).map_err(|_| ProtocolError::InvalidLength)?;
-    text.parse().map_err(|_| ProtocolError::InvalidLength)
+    parse_resp_length(text).ok_or(ProtocolError::InvalidLength)
 }
--- a/crates/gateway/src/node_protocol/resp/reply.rs
+++ b/crates/gateway/src/node_protocol/resp/reply.rs
@@ -6,6 +6,7 @@
 use super::reader::{ReadError, ReplyReader, RespValue, MAX_LENGTH_LINE_BYTES};
 use super::usage_report::UsageReport;
 use crate::node_protocol::ProtocolError;
+use crate::number_text::parse_decimal;
 use crate::resp_wire_names::{BUSY_ERROR, FAILED_ERROR};
 use crate::storage_request::{AttemptResult, ResponseBody};
 use io_scheduler::Outcome;
@@ -108,8 +109,8 @@
         .take(MAX_LENGTH_LINE_BYTES)
         .position(|byte| *byte == b'\r')
         .unwrap_or(0);
-    std::str::from_utf8(&text[..end])
-        .ok()
-        .and_then(|digits| digits.parse().ok())
+    let length = parse_decimal(&text[..end]);
+    length
+        .and_then(|length| usize::try_from(length).ok())
         .unwrap_or(0)
 }
--- a/crates/gateway/src/storage_request/request.rs
+++ b/crates/gateway/src/storage_request/request.rs
@@ -1,5 +1,6 @@
 //! A client request, independent of the protocol by which it arrived.
 
+use crate::hex_id::HexDigits;
 use io_scheduler::{ClassIndex, Micros, ObjectKey, PlanIndex, Shard, Units, VolumeId};
 
 /// Maximum size of a value that is forwarded to a node, in bytes.
@@ -25,6 +26,8 @@
     pub operation: Operation,
     /// The object.
     pub object: ObjectKey,
+    /// The id of the object as it is sent to RESP2 nodes: as a RESP2 client wrote it.
+    pub object_digits: HexDigits,
     /// Name of the object; `None` if the client's protocol does not name objects.
     pub object_name: Option<Box<str>>,
     /// The volume that the object belongs to.
--- a/crates/gateway/tests/gateway_process/scenarios/mod.rs
+++ b/crates/gateway/tests/gateway_process/scenarios/mod.rs
@@ -26,6 +26,7 @@
     invalid_resp_commands_are_rejected,
     responses_are_sent_in_command_order,
     invalid_options_and_incomplete_commands_are_rejected,
+    ids_and_numbers_have_exactly_the_published_form,
     client_disconnect_cancels_its_attempt,
     // Storage nodes.
     write_is_never_retried_after_a_connection_loss,
--- a/crates/gateway/tests/in_process/dispatcher/harness.rs
+++ b/crates/gateway/tests/in_process/dispatcher/harness.rs
@@ -9,6 +9,7 @@
 use storage_gateway::connection_token::ConnectionToken;
 use storage_gateway::dispatcher::{AbortCause, Command, Dispatcher};
 use storage_gateway::endpoint::EndpointRecord;
+use storage_gateway::hex_id::HexId;
 use storage_gateway::memory_budget::MemoryBudget;
 use storage_gateway::storage_request::{
     AttemptId, AttemptResult, CommandNumber, Operation, ReplySlot, Response, ResponseBody,
@@ -121,6 +122,7 @@
         StorageRequest {
             operation,
             object: ObjectKey(self.submitted_count),
+            object_digits: HexId(self.submitted_count).into(),
             object_name: None,
             volume: DEFAULT_VOLUME,
             client_request_id: self.submitted_count.to_string().into(),
--- a/crates/gateway/tests/in_process/main.rs
+++ b/crates/gateway/tests/in_process/main.rs
@@ -7,6 +7,7 @@
 mod idle_timeout;
 mod malformed_input;
 mod node_protocols;
+mod number_text;
 mod slab;
 mod support;
 mod timer_queue;
