Give a command that begins late in the idle time its full time limit

Seen by the review, by reading: a request whose first bytes arrive on a connection that has rested for nearly 2.5 s gets its error when the idle time ends, not 2.3 s after its first byte. Cause: the earlier of the idle time and the time limit of the command ended the connection. Change: once a command has begun, only its own time limit counts. A client that has sent no whole command yet keeps the earlier of the two, since it is owed an error or a close within 3 s of connecting.

--- a/crates/gateway/src/connections/client/connection.rs
+++ b/crates/gateway/src/connections/client/connection.rs
@@ -250,10 +250,15 @@
             return None;
         }
         let idle_until = self.last_active_at + self.idle_timeout();
-        match self.partial_command_since {
-            Some(since) => Some(idle_until.min(since + COMMAND_TIMEOUT)),
-            None => Some(idle_until),
+        let Some(since) = self.partial_command_since else {
+            return Some(idle_until);
+        };
+        let complete_by = since + COMMAND_TIMEOUT;
+        // A client that has not sent any command yet has no more time in all.
+        if self.eviction_rank == EvictionRank::NoCommand {
+            return Some(complete_by.min(idle_until));
         }
+        Some(complete_by)
     }
 
     /// Returns how long the connection may be idle, in microseconds.
--- a/crates/gateway/tests/gateway_process/races/idle_close.rs
+++ b/crates/gateway/tests/gateway_process/races/idle_close.rs
@@ -5,7 +5,12 @@
 use crate::harness::config::{with_64_descriptors, with_debug_log};
 use crate::harness::connection::Connection;
 use crate::harness::log_lines;
-use crate::harness::requests::encode_read_request;
+use crate::harness::requests::{encode_read_request, SplitRequest};
+use crate::harness::wait_until;
+use std::time::{Duration, Instant};
+
+/// How long a client connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The gateway has already closed the idle connection when the client sends a request on it.
 #[test]
@@ -22,6 +27,25 @@
     serve_request(&mut read.node, &mut next_client, "a3", "three");
 }
 
+/// A client sends the first half of a request just before its connection has been idle for too
+/// long, and the second half after that. Guards against ending the connection in between: from its
+/// first byte on, a command has a time limit of its own.
+#[test]
+fn request_that_begins_near_the_end_of_the_idle_time_is_served() {
+    let cluster = TestCluster::start();
+    let mut client = cluster.gateway.connect_idle_client();
+    let idle_since = Instant::now();
+    let request = SplitRequest::new(&encode_read_request("a1"));
+
+    wait_until(idle_since + IDLE_TIMEOUT - Duration::from_millis(300));
+    client.send(request.first_half);
+    wait_until(idle_since + IDLE_TIMEOUT + Duration::from_millis(500));
+    client.send(request.second_half);
+
+    let mut node = cluster.node_a.accept();
+    serve_request(&mut node, &mut client, "a1", "one");
+}
+
 /// All client descriptors are in use. The request of the oldest idle client is ready in the same
 /// turn of the event loop in which the gateway must evict an idle client for a new one.
 #[test]
