Count a process as running from the begin of its start in the soak

Beside load the process had opened its watch and received the list with s-0 in service at 4.8677 s, before the record of its start at 4.868 s. The judge took the notification for one that no process received, and s-0 for removed. Change: the record has the begin of the start, too. A process receives notifications from then on; what it owes still counts from the end. Kills were recorded before the signal already. Result: the new test of the judge has a notification just before and just after the begin of the start; it fails on the old rule.

--- a/crates/soak/src/judge/history.rs
+++ b/crates/soak/src/judge/history.rs
@@ -38,6 +38,8 @@
 pub struct ProcessHistory {
     /// The gateway.
     pub gateway: GatewayIndex,
+    /// When its start began: from then on it may have received what its peers sent.
+    pub runs_from: Duration,
     /// When it was started.
     pub started_at: Duration,
     /// When it first replied to a client.
@@ -199,9 +201,10 @@
 
     /// Adds an event of a process.
     fn add_process_event(&mut self, event: &Event, at: Duration, gateway: GatewayIndex) {
-        if matches!(event, Event::Started) {
+        if let Event::Started { spawn_began_at } = event {
             self.processes.push(ProcessHistory {
                 gateway,
+                runs_from: *spawn_began_at,
                 started_at: at,
                 ready_at: None,
                 shutdown_requested_at: None,
@@ -228,7 +231,7 @@
     #[must_use]
     pub fn process_at(&self, gateway: GatewayIndex, at: Duration) -> Option<&ProcessHistory> {
         let mut processes = self.processes.iter().rev();
-        processes.find(|process| process.gateway == gateway && process.started_at <= at)
+        processes.find(|process| process.gateway == gateway && process.runs_from <= at)
     }
 
     /// Returns whether a process of a gateway runs at a time.
@@ -267,9 +270,10 @@
             Event::AttemptReceived(attempt) => attempt.request == id,
             Event::ConnectionEnded { connection: other }
             | Event::ClientClosed { connection: other } => *other == connection,
-            Event::ShutdownRequested | Event::Killed | Event::Exited { .. } | Event::Started => {
-                record.gateway == Some(request.gateway)
-            }
+            Event::ShutdownRequested
+            | Event::Killed
+            | Event::Exited { .. }
+            | Event::Started { .. } => record.gateway == Some(request.gateway),
             Event::ListChanged { node, .. } | Event::Notified { node, .. } => {
                 let is_node = |attempt: &&ReceivedAttempt| attempt.node == *node;
                 let is_gateway = record.gateway.is_none_or(|index| index == request.gateway);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -104,7 +104,10 @@
     /// Discovery can be reached again.
     DiscoveryUp,
     /// The process was started.
-    Started,
+    Started {
+        /// When the start began. The process may have run before the start returned.
+        spawn_began_at: Duration,
+    },
     /// The process has replied to a client for the first time.
     Ready,
     /// SIGTERM was sent.
--- a/crates/soak/src/rig/gateway.rs
+++ b/crates/soak/src/rig/gateway.rs
@@ -228,6 +228,7 @@
         };
         let path = self.folder.join("config.json");
         fs::write(&path, config.encode())?;
+        let spawn_began_at = self.shared.recorder.now();
         let mut child = Command::new(&self.options.program)
             .env("ROUTER_CONFIG", path)
             .env("STORAGE_GATEWAY_LOG", "debug")
@@ -235,7 +236,7 @@
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()?;
-        self.record(Event::Started);
+        self.record(Event::Started { spawn_began_at });
         if let Some(stderr) = child.stderr.take() {
             self.read_log(stderr)?;
         }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -79,9 +79,20 @@
     event(ended_at_ms, notified)
 }
 
+/// Returns the event for a process that is started at once.
+fn started(at_ms: u64) -> Record {
+    started_during(at_ms, at_ms)
+}
+
+/// Returns the event for a process whose start takes some time.
+fn started_during(began_at_ms: u64, ended_at_ms: u64) -> Record {
+    let spawn_began_at = ms(began_at_ms);
+    event(ended_at_ms, Event::Started { spawn_began_at })
+}
+
 /// Returns the rules that the records violate, after a process that is ready at once.
 fn violated(records: &[Record]) -> Vec<Rule> {
-    let mut all = vec![event(0, Event::Started), event(1, Event::Ready)];
+    let mut all = vec![started(0), event(1, Event::Ready)];
     all.extend_from_slice(records);
     all.sort_by_key(|record| record.at);
     let bounds = Bounds {
@@ -251,7 +262,7 @@
         [
             event(500, Event::Killed),
             changed(1_000, NodeStatus::Removed),
-            event(4_500, Event::Started),
+            started(4_500),
             event(4_600, Event::Ready),
             changed(6_900, NodeStatus::InService),
             sent(7_000, true),
@@ -273,7 +284,7 @@
             changed(2_000, NodeStatus::InService),
             notified(notified_at, NodeStatus::InService),
             event(3_000, Event::Killed),
-            event(4_000, Event::Started),
+            started(4_000),
             event(4_100, Event::Ready),
             sent(5_000, true),
             attempt(5_010, 100),
@@ -314,6 +325,28 @@
     assert_eq!(violated(&drained(1_311)), [Rule::Drain]);
 }
 
+/// Guards against judging a process by a notification that it received before the rig records its
+/// start.
+#[test]
+fn process_receives_notifications_from_the_begin_of_its_start() {
+    let records = |notified_at| {
+        [
+            changed(1_000, NodeStatus::Draining),
+            notified(1_000, NodeStatus::Draining),
+            event(1_500, Event::Killed),
+            changed(1_600, NodeStatus::InService),
+            started_during(2_000, 2_010),
+            event(2_100, Event::Ready),
+            notified(notified_at, NodeStatus::InService),
+            sent(2_399, true),
+            attempt(2_400, 900),
+            reply(2_405, ReplyKind::Served),
+        ]
+    };
+    assert!(violated(&records(2_000)).is_empty());
+    assert_eq!(violated(&records(1_999)), [Rule::Drain]);
+}
+
 #[test]
 fn node_that_is_in_service_again_may_be_used() {
     let records = [
@@ -357,7 +390,7 @@
 
 #[test]
 fn process_that_is_not_ready_in_time_or_ends_by_itself_is_a_violation() {
-    let started = |ready_ms| [event(0, Event::Started), event(ready_ms, Event::Ready)];
+    let started = |ready_ms| [started(0), event(ready_ms, Event::Ready)];
     let bounds = Bounds {
         drain_grace: DRAIN_GRACE,
     };
