Keep a node connection whose barrier is not answered by +OK, and take no promise from it

By reading, a second fault: a held value followed by -BUSY was taken for a rejection, although the value may have been the reply and -BUSY that to the barrier. A write would then have been repeated. Change: +OK is no reply to any request, so that one that is still to come is skipped and the connection stays in use. After a held reply and an error that differs from it, the request counts as possibly executed. A new test has the five pairs of a held reply and an error.

--- a/crates/gateway/src/connections/node/connection.rs
+++ b/crates/gateway/src/connections/node/connection.rs
@@ -160,11 +160,8 @@
 
     /// Returns whether the connection can be used for another request. Reads the available input to
     /// find out: the node must not have closed the connection, nor sent data without a request,
-    /// which would be mistaken for the next response. No other reply may be outstanding either.
+    /// which would be mistaken for the next response.
     pub(super) fn is_reusable(&mut self) -> bool {
-        if self.protocol.is_reply_outstanding() {
-            return false;
-        }
         let Ok(StreamStatus::Open) = self.socket.read_available(MAX_BUFFERED_INPUT_BYTES) else {
             return false;
         };
--- a/crates/gateway/src/node_protocol/mod.rs
+++ b/crates/gateway/src/node_protocol/mod.rs
@@ -39,10 +39,6 @@
     /// listing and incomplete packets are not counted.
     fn counted_response_bytes(&self) -> usize;
 
-    /// Returns whether a reply is outstanding that could be mistaken for the reply to the next
-    /// request. The connection must then be closed instead of used again.
-    fn is_reply_outstanding(&self) -> bool;
-
     /// Consumes received bytes from the front of `input`. Returns the result of the request in
     /// flight once its reply is complete, and `None` until then. Appends further commands of the
     /// same request to `out`.
--- a/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
+++ b/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
@@ -6,8 +6,13 @@
 //!
 //! A reply that equals the previous one on its connection is therefore held, and a barrier command
 //! is sent behind the request. Replies arrive in the order of their commands. If the reply to the
-//! barrier is next, the held reply belongs to the request. If another reply is next, the held one
-//! was a duplicate, and the other one belongs to the request.
+//! barrier is next, the held reply belongs to the request. If a value is next, the held reply was a
+//! duplicate, and the value belongs to the request.
+//!
+//! If an error is next, it may be either the reply to the request or that to the barrier, because a
+//! node that rejects everything rejects the barrier, too. The request may then have been executed,
+//! unless both replies are rejections. The reply to the barrier may still arrive; it differs from
+//! every reply to a request and is skipped.
 
 use crate::storage_request::{AttemptResult, ResponseBody};
 use foldhash::fast::FixedState;
@@ -21,7 +26,7 @@
     previous: Option<Fingerprint>,
     /// A reply that equals the previous one and waits for the reply to the barrier.
     held: Option<AttemptResult>,
-    /// Whether the reply to a barrier is outstanding.
+    /// Whether a barrier was sent and no reply to it has arrived.
     is_barrier_outstanding: bool,
 }
 
@@ -63,13 +68,25 @@
     SendBarrier,
 }
 
+/// What a reply to a barrier says.
+pub(super) enum BarrierVerdict {
+    /// The held reply belongs to the request.
+    Use(AttemptResult),
+    /// Nothing: another reply has already been used for the request.
+    Skip,
+    /// No barrier was sent.
+    Unexpected,
+}
+
 impl DuplicateReplies {
     /// Decides on a reply that is not the reply to a barrier.
     pub(super) fn judge(&mut self, result: AttemptResult) -> Verdict {
         let fingerprint = Fingerprint::of(&result);
         let equals_previous = self.previous.replace(fingerprint) == Some(fingerprint);
-        let is_second_since_barrier = self.held.take().is_some();
-        if is_second_since_barrier || !equals_previous {
+        if let Some(held) = self.held.take() {
+            return Verdict::Use(combine(&held, result));
+        }
+        if !equals_previous {
             return Verdict::Use(result);
         }
         self.held = Some(result);
@@ -77,15 +94,18 @@
         Verdict::SendBarrier
     }
 
-    /// Handles the reply to a barrier. Returns the held reply, which belongs to the request; `None`
-    /// if no reply is held.
-    pub(super) fn finish_barrier(&mut self) -> Option<AttemptResult> {
-        let held = self.held.take()?;
-        self.is_barrier_outstanding = false;
-        Some(held)
+    /// Handles a reply to a barrier.
+    pub(super) fn finish_barrier(&mut self) -> BarrierVerdict {
+        if !std::mem::take(&mut self.is_barrier_outstanding) {
+            return BarrierVerdict::Unexpected;
+        }
+        match self.held.take() {
+            Some(held) => BarrierVerdict::Use(held),
+            None => BarrierVerdict::Skip,
+        }
     }
 
-    /// Returns whether the reply to a barrier is outstanding.
+    /// Returns whether a barrier was sent and no reply to it has arrived.
     pub(super) fn is_barrier_outstanding(&self) -> bool {
         self.is_barrier_outstanding
     }
@@ -97,6 +117,18 @@
     }
 }
 
+/// Returns the result of a request after a held reply and another one that is not the reply to the
+/// barrier.
+fn combine(held: &AttemptResult, next: AttemptResult) -> AttemptResult {
+    if next.outcome == Outcome::Served || next.outcome == held.outcome {
+        return next;
+    }
+    AttemptResult {
+        outcome: Outcome::Error,
+        ..next
+    }
+}
+
 /// Returns the value of a reply, if it has one.
 fn value_of(result: &AttemptResult) -> Option<&[u8]> {
     match &result.body {
--- a/crates/gateway/src/node_protocol/resp/protocol.rs
+++ b/crates/gateway/src/node_protocol/resp/protocol.rs
@@ -1,7 +1,9 @@
 //! Protocol state of one connection, and encoding of requests.
 
-use super::duplicate_replies::{DuplicateReplies, Verdict};
-use super::reply::{declared_value_length, parse_reply, ReplyContent, MAX_REPORT_BYTES};
+use super::duplicate_replies::{BarrierVerdict, DuplicateReplies, Verdict};
+use super::reply::{
+    declared_value_length, parse_reply, ReplyContent, BARRIER_REPLY, MAX_REPORT_BYTES,
+};
 use crate::node_protocol::{NodeProtocol, ProtocolError};
 use crate::resp_bulk_string::append_bulk_string;
 use crate::resp_wire_names::command;
@@ -43,10 +45,11 @@
         out: &mut Vec<u8>,
     ) -> Result<Option<AttemptResult>, ProtocolError> {
         let result = match content {
-            ReplyContent::Barrier => {
-                let held = self.duplicates.finish_barrier();
-                held.ok_or(ProtocolError::UnexpectedType)?
-            }
+            ReplyContent::Barrier => match self.duplicates.finish_barrier() {
+                BarrierVerdict::Use(held) => held,
+                BarrierVerdict::Skip => return Ok(None),
+                BarrierVerdict::Unexpected => return Err(ProtocolError::UnexpectedType),
+            },
             ReplyContent::Result(result) => match self.duplicates.judge(result) {
                 Verdict::Use(result) => result,
                 Verdict::SendBarrier => {
@@ -60,6 +63,13 @@
         Ok(Some(result))
     }
 
+    /// Returns whether input that arrives without a request is nothing, or the beginning of the
+    /// reply to a barrier.
+    fn may_be_barrier_reply(&self, input: &[u8]) -> bool {
+        input.is_empty()
+            || self.duplicates.is_barrier_outstanding() && BARRIER_REPLY.starts_with(input)
+    }
+
     /// Returns whether `buffered` bytes of an incomplete reply exceed the maximum length of a
     /// reply.
     fn exceeds_max_reply_length(&self, buffered: usize) -> bool {
@@ -120,16 +130,12 @@
         self.declared_length + self.duplicates.held_bytes()
     }
 
-    fn is_reply_outstanding(&self) -> bool {
-        self.duplicates.is_barrier_outstanding()
-    }
-
     fn decode(
         &mut self,
         input: &mut Vec<u8>,
         out: &mut Vec<u8>,
     ) -> Result<Option<AttemptResult>, ProtocolError> {
-        if !self.is_awaiting_reply && !input.is_empty() {
+        if !self.is_awaiting_reply && !self.may_be_barrier_reply(input) {
             return Err(ProtocolError::UnsolicitedReply);
         }
         while let Some(reply) = parse_reply(input, self.max_value_length)? {
--- a/crates/gateway/src/node_protocol/resp/reply.rs
+++ b/crates/gateway/src/node_protocol/resp/reply.rs
@@ -20,6 +20,8 @@
 
 /// Line of the reply to a barrier.
 const BARRIER_LINE: &[u8] = b"+OK";
+/// The reply to a barrier.
+pub(super) const BARRIER_REPLY: &[u8] = b"+OK\r\n";
 
 /// A complete reply.
 pub(super) struct Reply {
--- a/crates/gateway/src/node_protocol/sftp/protocol.rs
+++ b/crates/gateway/src/node_protocol/sftp/protocol.rs
@@ -141,11 +141,6 @@
         }
     }
 
-    fn is_reply_outstanding(&self) -> bool {
-        // Replies have ids: none is mistaken for another.
-        false
-    }
-
     fn decode(
         &mut self,
         input: &mut Vec<u8>,
--- a/crates/gateway/tests/in_process/node_protocols.rs
+++ b/crates/gateway/tests/in_process/node_protocols.rs
@@ -216,6 +216,29 @@
     }
 }
 
+/// A node that rejects everything rejects the barrier, too: the error may be the reply to either.
+/// Guards against a promise that the request was not executed, which would repeat a write.
+#[test]
+fn resp_request_may_have_been_executed_if_the_barrier_gets_an_error() {
+    let value = "*3\r\n$1\r\na\r\n$-1\r\n$-1\r\n";
+    let (failed, busy) = ("-ERR failed\r\n", "-BUSY\r\n");
+    for (held, next, outcome) in [
+        (value, busy, Outcome::Error),
+        (value, failed, Outcome::Error),
+        (failed, busy, Outcome::Error),
+        (busy, failed, Outcome::Error),
+        (busy, busy, Outcome::Overloaded),
+    ] {
+        let operations = [Operation::Read, Operation::Write];
+        let result = Ok(Some(ComparableResult::not_served(outcome, 0.0)));
+        assert_eq!(
+            last_resp_result(&operations, &[held, &format!("{held}{next}")]),
+            (result, RESP_BARRIER.to_owned()),
+            "{held:?} {next:?}"
+        );
+    }
+}
+
 #[test]
 fn malformed_resp_reply_is_a_protocol_error() {
     let missing_terminator = ProtocolError::MissingTerminator(MissingTerminator);
