Hold only values that equal the one before, since a barrier costs a connection

Since each error that equals the one before was followed by a barrier, and so cost a connection. Change: errors and rejections are used at once again.

--- a/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
+++ b/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
@@ -4,15 +4,18 @@
 //! send a reply a second time, some time later. If the next request has been written by then, the
 //! duplicate arrives in the place of the reply to that request.
 //!
-//! A reply that equals the previous one on its connection is therefore held, and a barrier command
-//! is sent behind the request. Replies arrive in the order of their commands. If the reply to the
-//! barrier is next, the held reply belongs to the request. If a value is next, the held reply was a
-//! duplicate, and the value belongs to the request.
+//! A reply whose value equals the previous one on its connection is therefore held, and a barrier
+//! command is sent behind the request. Replies arrive in the order of their commands. If the reply
+//! to the barrier is next, the held reply belongs to the request. If a value is next, the held
+//! reply was a duplicate, and the value belongs to the request.
 //!
 //! If an error is next, it may be either the reply to the request or that to the barrier, because a
-//! node that rejects everything rejects the barrier, too. The request may then have been executed,
-//! unless both replies are rejections. The reply to the barrier may still arrive; it differs from
-//! every reply to a request and is skipped.
+//! node that rejects everything rejects the barrier, too. The request may then have been executed.
+//! The reply to the barrier may still arrive; it differs from every reply to a request and is
+//! skipped.
+//!
+//! Errors and rejections are not held: nodes send only values twice, and an error is often the
+//! reply to several requests in a row.
 
 use crate::storage_request::{AttemptResult, ResponseBody};
 use foldhash::fast::FixedState;
@@ -22,41 +25,33 @@
 /// Recognizes duplicate replies on one connection.
 #[derive(Default)]
 pub(super) struct DuplicateReplies {
-    /// The last reply that was used for a request; `None` on a new connection.
-    previous: Option<Fingerprint>,
+    /// The value of the last reply; `None` if it had none, and on a new connection.
+    previous: Option<ValueFingerprint>,
     /// A reply that equals the previous one and waits for the reply to the barrier.
     held: Option<AttemptResult>,
     /// Whether a barrier was sent and no reply to it has arrived.
     is_barrier_outstanding: bool,
 }
 
-/// What is remembered of a reply. Equal replies have equal fingerprints; the opposite need not
-/// hold.
+/// What is remembered of a value. Equal values have equal fingerprints; the opposite need not hold.
 ///
-/// Reports are left out, since they may differ between a reply and its duplicate.
+/// The reports of a reply are left out, since they may differ between the reply and its duplicate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fingerprint {
-    /// A value.
-    Value {
-        /// Length in bytes.
-        length: usize,
-        /// Hash of the bytes.
-        hash: u64,
-    },
-    /// An error or a rejection.
-    NotServed(Outcome),
+struct ValueFingerprint {
+    /// Length in bytes.
+    length: usize,
+    /// Hash of the bytes.
+    hash: u64,
 }
 
-impl Fingerprint {
-    /// Returns the fingerprint of a reply.
-    fn of(result: &AttemptResult) -> Fingerprint {
-        match value_of(result) {
-            Some(value) => Fingerprint::Value {
-                length: value.len(),
-                hash: FixedState::default().hash_one(value),
-            },
-            None => Fingerprint::NotServed(result.outcome),
-        }
+impl ValueFingerprint {
+    /// Returns the fingerprint of a reply's value; `None` if it has none.
+    fn of(result: &AttemptResult) -> Option<ValueFingerprint> {
+        let value = value_of(result)?;
+        Some(ValueFingerprint {
+            length: value.len(),
+            hash: FixedState::default().hash_one(value),
+        })
     }
 }
 
@@ -81,10 +76,11 @@
 impl DuplicateReplies {
     /// Decides on a reply that is not the reply to a barrier.
     pub(super) fn judge(&mut self, result: AttemptResult) -> Verdict {
-        let fingerprint = Fingerprint::of(&result);
-        let equals_previous = self.previous.replace(fingerprint) == Some(fingerprint);
-        if let Some(held) = self.held.take() {
-            return Verdict::Use(combine(&held, result));
+        let fingerprint = ValueFingerprint::of(&result);
+        let equals_previous = fingerprint.is_some() && fingerprint == self.previous;
+        self.previous = fingerprint;
+        if self.held.take().is_some() {
+            return Verdict::Use(without_promise(result));
         }
         if !equals_previous {
             return Verdict::Use(result);
@@ -117,16 +113,14 @@
     }
 }
 
-/// Returns the result of a request after a held reply and another one that is not the reply to the
-/// barrier.
-fn combine(held: &AttemptResult, next: AttemptResult) -> AttemptResult {
-    if next.outcome == Outcome::Served || next.outcome == held.outcome {
-        return next;
-    }
-    AttemptResult {
-        outcome: Outcome::Error,
-        ..next
-    }
+/// Returns the result of a request whose held reply is followed by this one. A rejection may be the
+/// reply to the barrier, so that it does not promise that the request was not executed.
+fn without_promise(next: AttemptResult) -> AttemptResult {
+    let outcome = match next.outcome {
+        Outcome::Overloaded => Outcome::Error,
+        other => other,
+    };
+    AttemptResult { outcome, ..next }
 }
 
 /// Returns the value of a reply, if it has one.
