End the gateways of a review case also when the case fails

Cause: a case that failed by an exception, or was ended by SIGTERM, left its gateway running.

Change: the cases of the second review end through one function of their stand-ins, which stops all gateways; unused functions are gone. The checks and loads are the same.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,8 +14,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 
 from deployment import settings
-from rig import (CannotRun, CommandReader, Discovery, Gateway, Record, StorageNode, encode_command, finish, now,
-                 options_of, served)
+from rig import (CannotRun, CommandReader, Discovery, Gateway, Record, StorageNode, cannot_run, encode_command, finish,
+                 now, options_of, run, served)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 30
@@ -155,14 +155,12 @@
         for thread in threads:
             thread.join(until - now() + 30)
     except (CannotRun, OSError) as error:
-        finish(RECORD, [gateway], False, f"could not run: {error}")
-        return 2
+        return cannot_run(RECORD, error)
     finally:
         for other in others:
             other.kill()
     if not calm or any(took > DEADLINE for took, _, _ in calm):
-        finish(RECORD, [gateway], False, "could not run: answers were late before the disruption")
-        return 2
+        return cannot_run(RECORD, "answers were late before the disruption")
     # New connections may be shut unread while idle clients fill the descriptors: only requests count that came on a
     # connection on which the gateway had answered before.
     lost = [took for took, kind, is_proven in results
@@ -171,10 +169,10 @@
     note = (f"{len(lost)} of {len(results)} requests of usual clients, all on connections in use, were answered over "
             f"{LATE:.2f} s after their time or never; the longest took {longest:.2f} s; "
             f"{stats['silent']} silent connections")
-    return finish(RECORD, [gateway], bool(lost), note)
+    return finish(RECORD, bool(lost), note)
 
 
 if len(sys.argv) > 1:
     sender(int(sys.argv[1]), float(sys.argv[2]))
 else:
-    os._exit(main())
+    run(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,8 +13,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 
 from deployment import settings
-from rig import (CannotRun, CommandReader, Discovery, Gateway, Record, StorageNode, encode_command, finish, now,
-                 options_of, served)
+from rig import (CannotRun, CommandReader, Discovery, Gateway, Record, StorageNode, cannot_run, encode_command, finish,
+                 now, options_of, run, served)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = 30
@@ -129,17 +129,15 @@
         for thread in threads:
             thread.join(until - now() + 20)
     except (CannotRun, OSError) as error:
-        finish(RECORD, [gateway], False, f"could not run: {error}")
-        return 2
+        return cannot_run(RECORD, error)
     if not calm or any(took > DEADLINE for took, _ in calm):
-        finish(RECORD, [gateway], False, "could not run: answers were late before the disruption")
-        return 2
+        return cannot_run(RECORD, "answers were late before the disruption")
     lost = [took for took, kind in results if kind == "never" or took > DEADLINE + LATE]
     longest = max(took for took, _ in results)
     late_errors = sum(1 for took in errors if took > 3)
     note = (f"{len(lost)} of {len(results)} requests of usual clients were answered over {LATE:.2f} s after their time "
             f"or never; the longest took {longest:.2f} s; {late_errors} of {len(errors)} bad commands waited over 3 s")
-    return finish(RECORD, [gateway], bool(lost), note)
+    return finish(RECORD, bool(lost), note)
 
 
-os._exit(main())
+run(main)
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -11,12 +11,16 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 START = time.monotonic()
+# All gateways that the script has created; they end with it.
+GATEWAYS = []
 
 
 def now():
@@ -74,6 +78,7 @@
         self.port = free_port()
         self.process = None
         self.log = None
+        GATEWAYS.append(self)
 
     def write_config(self, discovery, known):
         """Replaces the configuration file."""
@@ -134,25 +139,6 @@
             time.sleep(0.05)
         return False
 
-    def send_signal(self, number):
-        """Sends a signal to the process."""
-        self.record.write(f"gateway {self.name}: {signal.Signals(number).name}")
-        self.process.send_signal(number)
-
-    def memory_kb(self):
-        """Returns the resident memory in KiB; 0 if the process has ended."""
-        try:
-            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
-                match = re.search(r"VmRSS:\s+(\d+) kB", file.read())
-        except OSError:
-            return 0
-        return int(match.group(1)) if match else 0
-
-    def log_text(self):
-        """Returns what the process has logged."""
-        with open(os.path.join(self.folder, "log.txt"), encoding="utf-8", errors="replace") as file:
-            return file.read()
-
     def stop(self):
         """Ends the process and removes its files."""
         if self.process is not None and self.process.poll() is None:
@@ -160,8 +146,7 @@
             self.process.wait()
         if self.log is not None:
             self.log.close()
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class ListedNode:
@@ -251,15 +236,6 @@
                 stream.close()
         self.watches = kept
 
-    def change(self, node, status):
-        """Changes the status of a node and tells it."""
-        with self.lock:
-            node.status = status
-            self.index += 1
-            update = {"index": self.index, "snapshot": False, "endpoints": [node.entry()]}
-            self.send_all(json.dumps(update) + "\n")
-        self.record.write(f"discovery: {node.name} is {status}")
-
 
 def write_chunk(stream, text):
     """Writes one chunk of a chunked response."""
@@ -388,11 +364,31 @@
     return b"".join(parts)
 
 
-def finish(record, gateways, broken, note):
-    """Ends the gateways and returns the exit code."""
-    for gateway in gateways:
+def finish(record, broken, note):
+    """Ends the gateways, writes the result, and returns the exit code."""
+    for gateway in GATEWAYS:
         gateway.stop()
     record.write("result: " + ("BROKEN: " if broken else "held: ") + note)
     record.close()
     print(("broken: " if broken else "held: ") + note, flush=True)
     return 1 if broken else 0
+
+
+def cannot_run(record, why):
+    """Ends the gateways, writes why the case has no result, and returns the exit code."""
+    finish(record, False, f"could not run: {why}")
+    return 2
+
+
+def run(main):
+    """Runs a case and exits with its code. Ends the gateways also if the case fails or is ended by a signal."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    code = 2
+    try:
+        code = main()
+    except BaseException:
+        traceback.print_exc()
+    finally:
+        for gateway in GATEWAYS:
+            gateway.stop()
+        os._exit(code)
