Check each candidate once when a connection is evicted, so that accepting ends

Cause: ClientConnections::accept repeated evict_one while the connections were at their limit. A candidate with new input stays open, but evict_one reported success, and the same connection was the next candidate. Change: evict_one checks at most eight candidates once each and reports whether a descriptor was freed; otherwise accepting pauses as before. Connections with an incomplete command are evicted after silent ones within their grace. close_excess_requesting_clients, which repeated in the same way (by reading), takes each connection once. The debug line of an eviction is written for connections that are closed, and names them.

--- a/crates/gateway/src/connections/client/accept.rs
+++ b/crates/gateway/src/connections/client/accept.rs
@@ -39,10 +39,8 @@
             if self.is_full() && accepted > 0 {
                 return AcceptOutcome::Done;
             }
-            while self.is_full() {
-                if !self.evict_one(context) {
-                    return AcceptOutcome::Blocked;
-                }
+            if self.is_full() && !self.evict_one(context) {
+                return AcceptOutcome::Blocked;
             }
             match listener.accept() {
                 Ok(stream) => self.add(stream, listener.protocol(), context),
--- a/crates/gateway/src/connections/client/eviction.rs
+++ b/crates/gateway/src/connections/client/eviction.rs
@@ -5,45 +5,68 @@
 use crate::connection_token::ConnectionToken;
 use crate::context::Context;
 
+/// Maximum number of connections that are checked for unread input to evict one of them.
+const MAX_EVICTION_CHECKS: usize = 8;
+
 impl ClientConnections {
-    /// Evicts one connection without pending replies. Returns whether there is such a candidate.
+    /// Tries to evict one connection without pending replies. Returns whether a descriptor was
+    /// freed.
     ///
-    /// A candidate with unread input stays open; see [`Self::evict`].
+    /// Each candidate is checked at most once, because a client that sends without a pause has
+    /// unread input at every check.
     pub(super) fn evict_one(&mut self, context: &mut Context) -> bool {
-        let Some(token) = self.eviction_queue.next_to_evict(context.now) else {
-            return false;
-        };
-        log::debug!(
-            "accepting a client connection: evicting an idle one unless it has unread input"
-        );
-        self.evict(token, context);
-        true
+        let open_before = self.count;
+        let candidates: Vec<ConnectionToken> = self
+            .eviction_queue
+            .in_order_of_eviction(context.now)
+            .take(MAX_EVICTION_CHECKS)
+            .collect();
+        for token in candidates {
+            self.evict_unless_active(token, context);
+            if self.count < open_before {
+                return true;
+            }
+        }
+        false
     }
 
     /// Closes a connection without a lingering close, because its descriptor is needed now. If
     /// unread input has arrived, the connection stays open and the input is handled instead, unless
     /// a lingering close is already in progress.
-    fn evict(&mut self, token: ConnectionToken, context: &mut Context) {
+    fn evict_unless_active(&mut self, token: ConnectionToken, context: &mut Context) {
         let Some(mut client) = self.take(token) else {
             return;
         };
-        let is_active = client.read_before_close() == PreCloseRead::Input;
-        if is_active && !client.is_lingering() {
-            self.run_commands_and_flush(client, context);
-        } else {
-            self.drop_connection(client, context);
+        let has_new_input = client.read_before_close() == PreCloseRead::Input;
+        if has_new_input && !client.is_lingering() {
+            return self.run_commands_and_flush(client, context);
         }
+        log::debug!(
+            "client connection {}: evicted for a new one",
+            u64::from(token)
+        );
+        self.drop_connection(client, context);
     }
 
     /// Closes idle connections that have sent a request, starting with the one idle for longest,
     /// until the number of open connections that have sent a request is within its limit. Some
     /// clients send a single request and never close the connection; without the limit they would
     /// use up the descriptors for new connections.
+    ///
+    /// A connection with unread input stays open and counts again in the next turn.
     pub(crate) fn close_excess_requesting_clients(&mut self, context: &mut Context) {
-        while self.requesting_clients > self.limits.requesting_clients {
-            let Some(token) = self.eviction_queue.longest_idle_requesting_client() else {
-                return;
-            };
+        let excess = self
+            .requesting_clients
+            .saturating_sub(self.limits.requesting_clients);
+        if excess == 0 {
+            return;
+        }
+        let longest_idle: Vec<ConnectionToken> = self
+            .eviction_queue
+            .idle_requesting_clients()
+            .take(excess)
+            .collect();
+        for token in longest_idle {
             log::debug!(
                 "closing an idle client connection: too many open connections have sent a request"
             );
--- a/crates/gateway/src/connections/client/eviction_queue.rs
+++ b/crates/gateway/src/connections/client/eviction_queue.rs
@@ -18,7 +18,8 @@
     SentCommand,
     /// At least one request to a storage node.
     SentRequest,
-    /// Part of a command that may still be completed. Used only in the eviction queue.
+    /// Part of a command that may still be completed. Used only in the eviction queue, where it is
+    /// evicted last.
     PartialCommand,
 }
 
@@ -38,9 +39,15 @@
 impl EvictionCandidate {
     /// Returns the lower bound of the range of candidates with this rank.
     fn range_start(rank: EvictionRank) -> EvictionCandidate {
+        Self::active_since(rank, Micros::MIN)
+    }
+
+    /// Returns the lower bound of the range of candidates with this rank that made progress at or
+    /// after `since`.
+    fn active_since(rank: EvictionRank, since: Micros) -> EvictionCandidate {
         EvictionCandidate {
             rank,
-            last_active_at: Micros::MIN,
+            last_active_at: since,
             token: ConnectionToken::MIN,
         }
     }
@@ -64,26 +71,31 @@
         self.candidates.remove(candidate);
     }
 
-    /// Returns the connection to evict for a new one. This is the first candidate, unless it made
-    /// progress within [`FIRST_COMMAND_GRACE`]. In that case, the first candidate that has sent a
-    /// command is preferred, if there is one.
-    pub(super) fn next_to_evict(&self, now: Micros) -> Option<ConnectionToken> {
-        let first = self.candidates.first()?;
-        if now - first.last_active_at >= FIRST_COMMAND_GRACE {
-            return Some(first.token);
-        }
-        let with_commands = EvictionCandidate::range_start(EvictionRank::SentCommand);
-        let first_with_commands = self.candidates.range(with_commands..).next();
-        Some(first_with_commands.unwrap_or(first).token)
+    /// Returns the connections in the order in which they are evicted for a new one: by rank, and
+    /// the longest idle one first among equal ranks. Connections without a command that were
+    /// accepted within [`FIRST_COMMAND_GRACE`] come after those that have sent one.
+    pub(super) fn in_order_of_eviction(
+        &self,
+        now: Micros,
+    ) -> impl Iterator<Item = ConnectionToken> + '_ {
+        let grace_start = now - FIRST_COMMAND_GRACE;
+        let new = EvictionCandidate::active_since(EvictionRank::NoCommand, grace_start + 1);
+        let with_command = EvictionCandidate::range_start(EvictionRank::SentCommand);
+        let partial = EvictionCandidate::range_start(EvictionRank::PartialCommand);
+        self.candidates
+            .range(..new)
+            .chain(self.candidates.range(with_command..partial))
+            .chain(self.candidates.range(new..with_command))
+            .chain(self.candidates.range(partial..))
+            .map(|candidate| candidate.token)
     }
 
-    /// Returns the connection that has been idle for longest among those that have sent a request.
-    pub(super) fn longest_idle_requesting_client(&self) -> Option<ConnectionToken> {
+    /// Returns the connections that have sent a request, the longest idle one first.
+    pub(super) fn idle_requesting_clients(&self) -> impl Iterator<Item = ConnectionToken> + '_ {
         let first = EvictionCandidate::range_start(EvictionRank::SentRequest);
         let end = EvictionCandidate::range_start(EvictionRank::PartialCommand);
         self.candidates
             .range(first..end)
-            .next()
             .map(|candidate| candidate.token)
     }
 }
--- a/crates/gateway/tests/gateway_process/harness/connection.rs
+++ b/crates/gateway/tests/gateway_process/harness/connection.rs
@@ -8,6 +8,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// How the gateway ended a connection.
@@ -115,6 +116,21 @@
         }
     }
 
+    /// As a client: sends the same bytes again and again without a pause, and discards all replies,
+    /// on two threads that end with the connection or the test process.
+    pub fn send_repeatedly_in_background(self, bytes: String) {
+        let mut reader = self
+            .stream
+            .try_clone()
+            .expect("the connection should be usable by two threads");
+        thread::spawn(move || {
+            let mut discarded = [0; 16 << 10];
+            while reader.read(&mut discarded).is_ok_and(|length| length > 0) {}
+        });
+        let mut writer = self.stream;
+        thread::spawn(move || while writer.write_all(bytes.as_bytes()).is_ok() {});
+    }
+
     /// Reads once; returns how the connection ended, or `None` if bytes were received.
     fn read_once(&mut self) -> Option<ConnectionEnd> {
         let mut bytes = [0; 64 << 10];
--- a/crates/gateway/tests/gateway_process/harness/requests.rs
+++ b/crates/gateway/tests/gateway_process/harness/requests.rs
@@ -40,6 +40,13 @@
     encode_read_request(id).replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d657")
 }
 
+/// A read of a class that the settings do not define.
+pub fn encode_read_request_of_unknown_class(id: &str) -> String {
+    encode_command(&format!(
+        "IO.IN 7f3a9c21e0b4d655 {id} c=none,t=gold,d=5000,volume=00000000000000a1,shard=0"
+    ))
+}
+
 /// A write of a new object, which any node may store (`shard=-1`).
 pub fn encode_write_request(id: &str) -> String {
     encode_command(&format!(
--- a/crates/gateway/tests/gateway_process/races/idle_close.rs
+++ b/crates/gateway/tests/gateway_process/races/idle_close.rs
@@ -5,7 +5,9 @@
 use crate::harness::config::{with_64_descriptors, with_debug_log};
 use crate::harness::connection::Connection;
 use crate::harness::log_lines;
-use crate::harness::requests::{encode_read_request, SplitRequest};
+use crate::harness::requests::{
+    encode_read_request, encode_read_request_of_unknown_class, SplitRequest,
+};
 use crate::harness::wait_until;
 use std::time::{Duration, Instant};
 
@@ -114,3 +116,44 @@
         });
     cluster.expect_new_read_and_write_go_to_node_a();
 }
+
+/// Returns 400 requests that the gateway answers with an error.
+fn encode_invalid_requests() -> String {
+    (0..400)
+        .map(|number| encode_read_request_of_unknown_class(&format!("b{number}")))
+        .collect()
+}
+
+/// How many reads [`encode_pipelined_reads`] returns: fewer than may wait for a reply, so that a
+/// client that has sent them at once is not idle, and not evicted, before all are answered.
+const PIPELINED_READS: usize = 30;
+
+/// Returns reads for one client to send at once.
+fn encode_pipelined_reads() -> String {
+    (0..PIPELINED_READS)
+        .map(|number| encode_read_request(&format!("a{number}")))
+        .collect()
+}
+
+/// Clients whose commands are invalid send without a pause while more silent clients connect than
+/// there are descriptors. Guards against an event loop that repeats the eviction of a connection
+/// that is not closed, because it has new input each time, and handles nothing else.
+#[test]
+fn clients_that_send_without_a_pause_do_not_keep_the_event_loop_evicting() {
+    let cluster = TestCluster::start_with(with_64_descriptors);
+    cluster.node_a.respond_in_background("value");
+    for _ in 0..3 {
+        let sender = cluster.gateway.connect();
+        sender.send_repeatedly_in_background(encode_invalid_requests());
+    }
+    let mut client = cluster.gateway.connect_idle_client();
+
+    cluster.gateway.pause();
+    client.send(encode_pipelined_reads());
+    let _silent: Vec<Connection> = (0..64).map(|_| cluster.gateway.connect()).collect();
+    cluster.gateway.resume();
+
+    for _ in 0..PIPELINED_READS {
+        client.expect_value("value");
+    }
+}
