Read a client while its commands wait, so that its close is seen behind hundreds of them

Cause: reading paused when 32 commands waited for a reply and the input buffer of 73 KB was full, and once a connection was due to be closed. The end of the stream stood behind the bytes that were not read. Change: input is read as long as the client reads its replies. The budget for incomplete commands is the one for all input; a connection may use its part of it even when all together exceed it.

--- a/crates/gateway/src/connections/client/client_connections.rs
+++ b/crates/gateway/src/connections/client/client_connections.rs
@@ -33,9 +33,11 @@
     /// Total bytes reserved, over all connections, for replies that are not encoded yet and will
     /// have to wait for earlier ones.
     pub(super) reserved_reply_bytes: usize,
-    /// Total capacity in bytes of the input buffers of all connections. Between turns the buffers
-    /// contain mostly incomplete commands.
+    /// Total capacity in bytes of the input buffers that contain no complete command.
     pub(super) partial_command_bytes: usize,
+    /// Total capacity in bytes of the input buffers that contain commands which wait for earlier
+    /// ones of their client.
+    pub(super) waiting_command_bytes: usize,
     /// The connections that may be closed to free descriptors, in the order of eviction.
     pub(super) eviction_queue: EvictionQueue,
 }
@@ -59,6 +61,7 @@
             unsent_bytes: 0,
             reserved_reply_bytes: 0,
             partial_command_bytes: 0,
+            waiting_command_bytes: 0,
             eviction_queue: EvictionQueue::default(),
         }
     }
--- a/crates/gateway/src/connections/client/closing.rs
+++ b/crates/gateway/src/connections/client/closing.rs
@@ -131,6 +131,9 @@
         client
             .counted_partial_command_bytes
             .set(0, &mut self.partial_command_bytes);
+        client
+            .counted_waiting_command_bytes
+            .set(0, &mut self.waiting_command_bytes);
         for id in client.replies.into_requests_of_pending_replies() {
             context.record_response_not_needed(id);
         }
--- a/crates/gateway/src/connections/client/commands.rs
+++ b/crates/gateway/src/connections/client/commands.rs
@@ -3,6 +3,7 @@
 use super::client_connections::ClientConnections;
 use super::connection::{ClientConnection, MAX_REPLY_BYTES, MAX_UNSENT_BYTES};
 use super::eviction_queue::EvictionRank;
+use super::waiting_commands::{ParsedInput, UnparsedInput};
 use crate::client_protocol::ParsedCommand;
 use crate::context::Context;
 use crate::storage_request::{ReplySlot, StorageRequest};
@@ -13,24 +14,6 @@
 /// this multiple of their budget.
 const MAX_BACKLOG_FACTOR: usize = 2;
 
-/// The input that [`ClientConnections::run_commands`] has parsed.
-struct ParsedInput {
-    /// Number of bytes of the commands that were run.
-    bytes: usize,
-    /// What the rest of the input is.
-    rest: UnparsedInput,
-}
-
-/// The input behind the commands that were run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum UnparsedInput {
-    /// No complete command.
-    Incomplete,
-    /// It was not parsed, because of a limit on pending replies or because the connection is
-    /// closing. It may contain complete commands.
-    Unknown,
-}
-
 impl ClientConnections {
     /// Runs the commands that have arrived on a connection and writes the replies that are ready.
     /// Then stores the connection, starts or continues its lingering close, or drops it.
@@ -41,14 +24,14 @@
     ) {
         loop {
             let parsed = self.run_commands(&mut client, context);
-            self.consume_input(&mut client, &parsed, context);
+            let rest = self.consume_input(&mut client, parsed, context);
             let flushed = self.flush(&mut client, context.now);
             if flushed.is_err() || self.has_excessive_backlog(&client, context) {
                 return self.drop_connection(client, context);
             }
             // The replies just written may have been the reason why commands were not parsed, and
             // no event may follow that would parse them.
-            let is_resumable = parsed.rest == UnparsedInput::Unknown && !client.input_is_empty();
+            let is_resumable = rest == UnparsedInput::Unknown && !client.input_is_empty();
             if !is_resumable || !self.may_run_command(&client, context) {
                 break;
             }
@@ -140,28 +123,6 @@
         client.replies.push_awaiting(ids);
     }
 
-    /// Discards the parsed input, or all input of a closing connection, and updates the total of
-    /// buffered bytes. If the partial commands of all clients exceed their budget and this client
-    /// has one, it is rejected and the connection is closed.
-    fn consume_input(
-        &mut self,
-        client: &mut ClientConnection,
-        parsed: &ParsedInput,
-        context: &Context,
-    ) {
-        client.consume_parsed(parsed.bytes, parsed.rest, context.now);
-        let buffered_bytes = client.socket.input.capacity();
-        client
-            .counted_partial_command_bytes
-            .set(buffered_bytes, &mut self.partial_command_bytes);
-        let over_budget =
-            self.partial_command_bytes > context.config.memory_budget.partial_command_bytes;
-        if over_budget && client.partial_command_since.is_some() && !client.is_closing() {
-            client.close_after_reply(client.protocol.overloaded_reply());
-            client.socket.consume_all();
-        }
-    }
-
     /// Writes as much of the pending replies as the socket accepts, and updates the total of unsent
     /// bytes.
     fn flush(&mut self, client: &mut ClientConnection, now: Micros) -> io::Result<()> {
@@ -175,7 +136,7 @@
     }
 
     /// Updates the totals of unsent and of reserved bytes of replies.
-    fn count_replies(&mut self, client: &mut ClientConnection) {
+    pub(super) fn count_replies(&mut self, client: &mut ClientConnection) {
         let unsent_bytes = client.unsent_bytes();
         client
             .counted_unsent_bytes
--- a/crates/gateway/src/connections/client/connection.rs
+++ b/crates/gateway/src/connections/client/connection.rs
@@ -1,8 +1,8 @@
 //! The state of one client connection.
 
-use super::commands::UnparsedInput;
 use super::eviction_queue::{EvictionCandidate, EvictionRank};
 use super::reply_queue::ReplyQueue;
+use super::waiting_commands::UnparsedInput;
 use crate::client_protocol::resp::MAX_COMMAND_BYTES;
 use crate::client_protocol::{ClientProtocol, EncodedReply, ParsedCommand};
 use crate::connection_token::ConnectionToken;
@@ -10,12 +10,13 @@
 use crate::connections::counted_bytes::CountedBytes;
 use crate::connections::socket::{Interest, Socket, StreamStatus};
 use io_scheduler::{Micros, RequestId};
+use std::io;
 
-/// Maximum input in bytes that is buffered for a connection: the largest command, including the
-/// length lines of its arguments.
-pub(super) const MAX_INPUT_BYTES: usize = MAX_COMMAND_BYTES + (2 << 10);
-/// Maximum number of commands of one connection that wait for a reply. No further command is parsed
-/// until a reply is sent.
+/// Maximum input in bytes that is read from a connection in one turn of the event loop: the largest
+/// command, including the length lines of its arguments.
+const MAX_READ_BYTES: usize = MAX_COMMAND_BYTES + (2 << 10);
+/// Maximum number of commands of one connection that wait for a reply. Further ones wait in the
+/// input buffer until a reply is sent.
 const MAX_PIPELINED_COMMANDS: usize = 32;
 /// Maximum unsent reply bytes of one connection. Once they are reached, no further command is
 /// parsed.
@@ -63,6 +64,8 @@
     pub(super) counted_reserved_reply_bytes: CountedBytes,
     /// The connection's contribution to [`super::ClientConnections::partial_command_bytes`].
     pub(super) counted_partial_command_bytes: CountedBytes,
+    /// The connection's contribution to [`super::ClientConnections::waiting_command_bytes`].
+    pub(super) counted_waiting_command_bytes: CountedBytes,
 }
 
 /// The result of [`ClientConnection::read_before_close`].
@@ -111,6 +114,7 @@
             counted_unsent_bytes: CountedBytes::default(),
             counted_reserved_reply_bytes: CountedBytes::default(),
             counted_partial_command_bytes: CountedBytes::default(),
+            counted_waiting_command_bytes: CountedBytes::default(),
         }
     }
 
@@ -205,6 +209,12 @@
         }
     }
 
+    /// Reads available input, up to [`MAX_READ_BYTES`] in addition to the buffered input.
+    pub(super) fn read_input(&mut self) -> io::Result<StreamStatus> {
+        let max_buffered = self.socket.input.len() + MAX_READ_BYTES;
+        self.socket.read_available(max_buffered)
+    }
+
     /// Records that a complete command was run at the time `now`, and queues its reply if it is
     /// ready.
     pub(super) fn record_command(&mut self, now: Micros) {
@@ -217,7 +227,7 @@
     /// command in the meantime.
     pub(super) fn read_before_close(&mut self) -> PreCloseRead {
         let length_before = self.socket.input.len();
-        match self.socket.read_available(MAX_INPUT_BYTES) {
+        match self.read_input() {
             Ok(StreamStatus::Open) if self.socket.input.len() > length_before => {
                 PreCloseRead::Input
             }
@@ -226,11 +236,14 @@
         }
     }
 
-    /// Returns the events to wait for before a lingering close. Reading is paused while the input
-    /// buffer is full and once the connection is closing.
+    /// Returns the events to wait for before a lingering close.
+    ///
+    /// Input is read also while no command may be run and while the connection is closing, because
+    /// the end of the stream is visible only once all input before it has been read. Reading is
+    /// paused only while the client does not read its replies: if it closes the connection then,
+    /// its system resets the connection, which is visible at once.
     pub(super) fn interest(&self) -> Interest {
-        let input_is_full = self.socket.input.len() >= MAX_INPUT_BYTES;
-        if input_is_full || self.is_closing() {
+        if self.socket.unsent_bytes() >= MAX_UNSENT_BYTES {
             Interest::Paused
         } else {
             Interest::Read
--- a/crates/gateway/src/connections/client/events.rs
+++ b/crates/gateway/src/connections/client/events.rs
@@ -2,7 +2,7 @@
 //! has arrived.
 
 use super::client_connections::ClientConnections;
-use super::connection::{ClientConnection, Lifecycle, MAX_INPUT_BYTES};
+use super::connection::{ClientConnection, Lifecycle};
 use crate::connection_token::ConnectionToken;
 use crate::connections::socket::StreamStatus;
 use crate::context::Context;
@@ -90,7 +90,7 @@
         return Ok(StreamStatus::Ended);
     }
     if flags.contains(EventFlags::IN) {
-        return client.socket.read_available(MAX_INPUT_BYTES);
+        return client.read_input();
     }
     Ok(StreamStatus::Open)
 }
--- a/crates/gateway/src/connections/client/mod.rs
+++ b/crates/gateway/src/connections/client/mod.rs
@@ -14,6 +14,7 @@
 mod eviction;
 mod eviction_queue;
 mod reply_queue;
+mod waiting_commands;
 
 pub(crate) use accept::AcceptOutcome;
 pub(crate) use client_connections::ClientConnections;
--- a/crates/gateway/src/connections/client/reply_queue.rs
+++ b/crates/gateway/src/connections/client/reply_queue.rs
@@ -17,12 +17,14 @@
     awaiting: usize,
     /// Total bytes of the encoded replies that are pending.
     encoded_bytes: usize,
+    /// The part of `encoded_bytes` that are replies to rejected commands.
+    rejection_bytes: usize,
 }
 
-/// The reply to one command.
+/// The reply to one command, or the replies to successive commands that were rejected.
 #[derive(Debug)]
 struct PendingReply {
-    /// Number of the command on the connection.
+    /// Number of the command on the connection; the first one of several.
     command_number: CommandNumber,
     /// The encoded reply, or the requests whose responses are awaited.
     content: ReplyContent,
@@ -33,6 +35,8 @@
 enum ReplyContent {
     /// The reply is encoded and waits for earlier replies to be sent.
     Encoded(Vec<u8>),
+    /// The replies to successive rejected commands, encoded, which wait for earlier replies.
+    Rejections(Vec<u8>),
     /// The reply cannot be encoded before the responses to these requests of the command arrive.
     AwaitingResponses(Vec<RequestId>),
 }
@@ -59,6 +63,20 @@
         self.push(ReplyContent::Encoded(bytes));
     }
 
+    /// Adds the encoded reply to the next command, which was rejected. It takes no more memory than
+    /// its bytes behind another rejection.
+    pub(super) fn push_rejection(&mut self, bytes: Vec<u8>) {
+        self.encoded_bytes += bytes.len();
+        self.rejection_bytes += bytes.len();
+        let last = self.pending.back_mut().map(|reply| &mut reply.content);
+        if let Some(ReplyContent::Rejections(rejections)) = last {
+            rejections.extend(bytes);
+            self.next_command_number = self.next_command_number.next();
+        } else {
+            self.push(ReplyContent::Rejections(bytes));
+        }
+    }
+
     /// Adds a pending reply to the next command, which has submitted these requests.
     pub(super) fn push_awaiting(&mut self, requests: Vec<RequestId>) {
         self.awaiting += 1;
@@ -93,22 +111,36 @@
                 self.encoded_bytes -= replaced.len();
                 Vec::new()
             }
+            ReplyContent::Rejections(replaced) => {
+                self.encoded_bytes -= replaced.len();
+                self.rejection_bytes -= replaced.len();
+                Vec::new()
+            }
         }
     }
 
     /// Moves encoded replies to `output`, up to the first reply that is not encoded yet.
     pub(super) fn append_ready(&mut self, output: &mut Vec<u8>) {
-        while let Some(PendingReply {
-            content: ReplyContent::Encoded(bytes),
-            ..
-        }) = self.pending.front_mut()
-        {
+        while let Some(first) = self.pending.front_mut() {
+            let bytes = match &mut first.content {
+                ReplyContent::Encoded(bytes) => bytes,
+                ReplyContent::Rejections(bytes) => {
+                    self.rejection_bytes -= bytes.len();
+                    bytes
+                }
+                ReplyContent::AwaitingResponses(_) => return,
+            };
             self.encoded_bytes -= bytes.len();
             output.append(bytes);
             self.pending.pop_front();
         }
     }
 
+    /// Returns the total bytes of the replies to rejected commands that wait for earlier ones.
+    pub(super) fn rejection_bytes(&self) -> usize {
+        self.rejection_bytes
+    }
+
     /// Returns the total bytes of encoded replies that wait for earlier ones.
     pub(super) fn encoded_bytes(&self) -> usize {
         self.encoded_bytes
@@ -127,7 +159,7 @@
             .into_iter()
             .flat_map(|reply| match reply.content {
                 ReplyContent::AwaitingResponses(requests) => requests,
-                ReplyContent::Encoded(_) => Vec::new(),
+                ReplyContent::Encoded(_) | ReplyContent::Rejections(_) => Vec::new(),
             })
     }
 }
--- a/crates/gateway/src/dispatcher/submit.rs
+++ b/crates/gateway/src/dispatcher/submit.rs
@@ -95,6 +95,17 @@
             response,
         });
     }
+
+    /// Counts a request that its connection rejected before it was submitted, because the input of
+    /// the clients exceeded its limits.
+    pub fn record_rejected(&mut self, request: &StorageRequest) {
+        let response = Response::Rejected {
+            retry_after: OVERLOADED_RETRY_AFTER,
+        };
+        self.volume_counters.record_received(request.volume);
+        self.volume_counters
+            .record_response(request.volume, request.units, &response);
+    }
 }
 
 /// Returns the latest time to send the final response to a client that waits for `client_timeout`
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -22,9 +22,11 @@
     /// total exceed this limit is run only if its client has no pending reply; above twice this
     /// limit, clients that read too slowly are disconnected.
     pub unsent_reply_bytes: usize,
-    /// Total bytes of incomplete commands. Above this limit, a client that sends only a part of a
-    /// command is disconnected.
-    pub partial_command_bytes: usize,
+    /// Total bytes of the input of clients that is not run yet: incomplete commands, and complete
+    /// ones that wait for earlier commands of their client. Above this limit, a client that sends
+    /// only a part of a command is rejected and disconnected. Complete commands may take
+    /// [`Self::waiting_command_bytes`]; above that limit, they are rejected.
+    pub input_bytes: usize,
     /// Total bytes of the uploads and objects that SFTP clients have open.
     pub sftp_file_bytes: usize,
     /// Total bytes of large responses that are being received from nodes. An attempt fails if its
@@ -44,6 +46,8 @@
     const BUFFER_DIVISOR: usize = 12;
     /// The largest value accepted from a node is the memory limit divided by this.
     const VALUE_DIVISOR: usize = 32;
+    /// Complete commands that wait may take the bytes for input divided by this.
+    const WAITING_COMMAND_DIVISOR: usize = 2;
     /// Estimated memory of a request without its body, in bytes. Includes its entries in all
     /// tables.
     const REQUEST_OVERHEAD_BYTES: usize = 2 << 10;
@@ -51,6 +55,13 @@
     /// be corrupt.
     const MAX_ACCEPTED_VALUE_BYTES: usize = 1 << 20;
 
+    /// The part of [`Self::input_bytes`] that complete commands may take, so that commands that are
+    /// being received keep the rest.
+    #[must_use]
+    pub fn waiting_command_bytes(&self) -> usize {
+        self.input_bytes / Self::WAITING_COMMAND_DIVISOR
+    }
+
     /// Computes the budget of a process that may use `memory_mb` MiB.
     #[must_use]
     pub fn from_memory_mb(memory_mb: usize) -> MemoryBudget {
@@ -59,7 +70,7 @@
         MemoryBudget {
             request_body_bytes: buffer_bytes,
             unsent_reply_bytes: buffer_bytes,
-            partial_command_bytes: buffer_bytes,
+            input_bytes: buffer_bytes,
             sftp_file_bytes: buffer_bytes,
             large_response_bytes: buffer_bytes,
             max_value_bytes: (memory_bytes / Self::VALUE_DIVISOR)
--- a/crates/gateway/tests/gateway_process/harness/connection.rs
+++ b/crates/gateway/tests/gateway_process/harness/connection.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// As a node: responds to all further requests with this value, on a thread that ends with the
+    /// connection or the test process.
+    pub fn respond_in_background(mut self, value: &str) {
+        let response = encode_value_response(value);
+        thread::spawn(move || self.respond_until_closed(&response, &AtomicUsize::new(0)));
+    }
+
     /// As a client: sends the same bytes again and again without a pause, and discards all replies,
     /// on two threads that end with the connection or the test process.
     pub fn send_repeatedly_in_background(self, bytes: String) {
@@ -283,6 +290,13 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
+    /// Closes the sending side with a FIN. The connection can still receive.
+    pub fn close_sending_side(&self) {
+        self.stream
+            .shutdown(Shutdown::Write)
+            .expect("the connection should be open");
+    }
+
     /// Resets the connection. The RST has been sent when this returns, because no child process
     /// holds a copy of the socket.
     pub fn reset(self) {
--- a/crates/gateway/tests/gateway_process/harness/log_lines.rs
+++ b/crates/gateway/tests/gateway_process/harness/log_lines.rs
@@ -19,3 +19,6 @@
 /// The gateway closes an idle client connection, because the number of open connections that have
 /// sent a request exceeds its limit.
 pub const EXCESS_CONNECTION_CLOSED: &str = "closing an idle client connection: too many";
+/// A client connection was closed, because the client has closed it or it has failed. Needs
+/// [`with_debug_log`](super::config::with_debug_log).
+pub const CLIENT_CONNECTION_CLOSED: &str = "closed in state";
--- a/crates/gateway/tests/gateway_process/harness/requests.rs
+++ b/crates/gateway/tests/gateway_process/harness/requests.rs
@@ -61,6 +61,16 @@
     ))
 }
 
+/// A write of a new object with a body of this many bytes, for node A or B.
+pub fn encode_write_request_with_body(id: &str, body_bytes: usize) -> String {
+    let body = "w".repeat(body_bytes);
+    let arguments = format!(
+        "IO.OUT 7f3a9c21e0b4d656 {id} \
+         c=write,t=gold,d=5000,volume=00000000000000a1,units=2,shard=0,hosts=1 {body}"
+    );
+    encode_command(&arguments)
+}
+
 /// A node's successful response with a value and null for the usage report and the load report.
 pub fn encode_value_response(value: &str) -> String {
     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())
--- a/crates/gateway/tests/gateway_process/races/client_close.rs
+++ b/crates/gateway/tests/gateway_process/races/client_close.rs
@@ -3,10 +3,12 @@
 
 use crate::harness::cluster::{serve_request, TestCluster};
 use crate::harness::config::{
-    with_1024_descriptors, with_long_connect_timeout, without_cancellation,
+    with_1024_descriptors, with_debug_log, with_long_connect_timeout, without_cancellation,
 };
+use crate::harness::connection::Connection;
+use crate::harness::log_lines;
 use crate::harness::node::FakeStorageNode;
-use crate::harness::requests::encode_read_request;
+use crate::harness::requests::{encode_read_request, encode_write_request_with_body};
 
 /// The connection, a complete or partial request and the close of the connection are all ready in
 /// the same turn of the event loop. Forwarding the request would make the node work on a response
@@ -52,6 +54,75 @@
     serve_request(&mut read.node, &mut next_client, "a2", "two");
 }
 
+/// A client sends input while node A is busy, then ends the connection. Checks that the gateway
+/// detects the end before the node responds, and forwards nothing of the input after it.
+#[track_caller]
+fn expect_end_to_be_detected_behind(input: &str, end: impl FnOnce(Connection)) {
+    let mut cluster = TestCluster::start_with(with_debug_log);
+    let mut read = cluster.start_read("a1");
+    let leaving_client = cluster.gateway.connect_and_send(input);
+
+    end(leaving_client);
+    cluster
+        .gateway
+        .wait_for_log(log_lines::CLIENT_CONNECTION_CLOSED);
+
+    let mut next_client = cluster.gateway.connect_and_send(encode_read_request("a2"));
+    cluster.gateway.wait_until_input_is_processed();
+    read.complete("one");
+    serve_request(&mut read.node, &mut next_client, "a2", "two");
+}
+
+/// As [`expect_end_to_be_detected_behind`], for a close, a half close and a reset.
+#[track_caller]
+fn expect_each_end_to_be_detected_behind(input: &str) {
+    expect_end_to_be_detected_behind(input, Connection::close);
+    expect_end_to_be_detected_behind(input, Connection::reset);
+    let mut half_closed = None;
+    expect_end_to_be_detected_behind(input, |client| {
+        client.close_sending_side();
+        half_closed = Some(client);
+    });
+}
+
+/// Returns writes with bodies of this size, 1.2 MB in all.
+fn encode_large_writes(body_bytes: usize) -> String {
+    (0..1_200_000 / body_bytes)
+        .map(|number| encode_write_request_with_body(&format!("w{number}"), body_bytes))
+        .collect()
+}
+
+/// More writes than may wait for a reply, and more bytes than the system buffers unless they are
+/// read. Guards against pausing the reading while commands wait, which hides the close of the
+/// client.
+#[test]
+fn end_of_a_connection_is_detected_behind_hundreds_of_writes() {
+    expect_each_end_to_be_detected_behind(&encode_large_writes(4_096));
+}
+
+/// Fewer writes than may wait for a reply.
+#[test]
+fn end_of_a_connection_is_detected_behind_a_few_large_writes() {
+    expect_each_end_to_be_detected_behind(&encode_large_writes(60_000));
+}
+
+/// More reads than the gateway rejects before it closes the connection.
+#[test]
+fn end_of_a_connection_is_detected_behind_thousands_of_reads() {
+    let reads: String = (0..8_000)
+        .map(|number| encode_read_request(&format!("r{number}")))
+        .collect();
+    expect_each_end_to_be_detected_behind(&reads);
+}
+
+/// The connection is due to be closed after its replies, because of the invalid command. Guards
+/// against no longer reading it until then.
+#[test]
+fn end_of_a_connection_is_detected_behind_an_invalid_command() {
+    let input = encode_read_request("r1") + "invalid\r\n" + &"x".repeat(1_200_000);
+    expect_each_end_to_be_detected_behind(&input);
+}
+
 /// Cancellation is disabled, so the attempt stays at the node after the client has closed.
 #[test]
 fn attempt_of_a_closed_client_is_not_retried_after_a_node_reset() {
--- a/crates/gateway/tests/gateway_process/races/pipelining.rs
+++ b/crates/gateway/tests/gateway_process/races/pipelining.rs
@@ -3,7 +3,7 @@
 
 use crate::harness::cluster::{serve_request, TestCluster};
 use crate::harness::config::with_32_mib_of_memory;
-use crate::harness::requests::encode_read_request;
+use crate::harness::requests::{encode_read_request, encode_write_request_with_body};
 use crate::harness::resp::encode_command;
 use crate::harness::wait_until;
 use std::sync::atomic::Ordering;
@@ -46,6 +46,38 @@
 /// How long the node that responds gets for more requests than the budget allows.
 const OBSERVATION_TIME: Duration = Duration::from_millis(500);
 
+/// A client sends more writes at once than the gateway buffers, and the node of its first command is
+/// silent. Guards against a command without a reply: those that don't fit are rejected, in their
+/// order, and the connection stays open.
+#[test]
+fn commands_that_exceed_the_input_limit_are_rejected_in_order() {
+    const WRITES: usize = 300;
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    let writes: String = (0..WRITES)
+        .map(|number| encode_write_request_with_body(&format!("w{number}"), 4_096))
+        .collect();
+    let mut client = cluster
+        .gateway
+        .connect_and_send(encode_read_request("a2") + &writes);
+    client.send_ping();
+    cluster.gateway.wait_until_input_is_processed();
+
+    cluster.node_a.respond_in_background("served");
+    read.complete("one");
+    read.node.expect_request("a2");
+    read.node.respond("two");
+    read.node.respond_in_background("served");
+
+    client.expect_value("two");
+    let replies: Vec<String> = (0..WRITES).map(|_| client.receive_value()).collect();
+    client.expect_pong();
+    assert_eq!(replies.first().map(String::as_str), Some("served"));
+    let is_final = |reply: &String| reply == "served" || reply.starts_with("-BUSY");
+    assert!(replies.iter().all(is_final), "{replies:?}");
+    assert_eq!(replies.last().map(String::as_str), Some("-BUSY 250"));
+}
+
 /// Clients send many reads at once. The node of each client's first read does not respond, so that
 /// the values of its other reads have to wait in the gateway. Guards against buffering more values
 /// than the memory budget allows, and against losing the replies that had to wait for room.
--- a/crates/gateway/tests/in_process/configuration.rs
+++ b/crates/gateway/tests/in_process/configuration.rs
@@ -79,7 +79,7 @@
     let small = budget(r#"{"memory_mb":32,"sockets":256}"#).expect("32 MiB should be accepted");
     let total = small.request_body_bytes
         + small.unsent_reply_bytes
-        + small.partial_command_bytes
+        + small.input_bytes
         + small.sftp_file_bytes
         + small.large_response_bytes
         + small.max_value_bytes;
