Bound incomplete commands also on connections with a pending reply

Cause: the budget for incomplete commands was applied only to connections without a pending reply. Change: the budget applies to each connection that has more than its part of it; smaller ones are left alone.

--- a/crates/gateway/src/connections/client/waiting_commands.rs
+++ b/crates/gateway/src/connections/client/waiting_commands.rs
@@ -105,7 +105,7 @@
         let buffered = client.counted_partial_command_bytes.get();
         let all_bytes = self.partial_command_bytes + self.waiting_command_bytes;
         !client.is_closing()
-            && client.partial_command_since.is_some()
+            && !client.input_is_empty()
             && all_bytes > max_bytes
             && buffered > self.part_of_client(max_bytes)
     }
--- a/crates/gateway/tests/gateway_process/harness/config.rs
+++ b/crates/gateway/tests/gateway_process/harness/config.rs
@@ -66,6 +66,16 @@
     )
 }
 
+/// Limits the gateway to 32 MiB of memory and 1024 file descriptors, of which client connections
+/// may use 600.
+pub fn with_32_mib_of_memory_and_1024_descriptors(config: &str) -> String {
+    replace_setting(
+        &with_32_mib_of_memory(config),
+        "\"sockets\":256",
+        "\"sockets\":1024",
+    )
+}
+
 /// Sets the log level to `debug`.
 pub fn with_debug_log(config: &str) -> String {
     replace_setting(config, "\"seed\"", "\"log\":\"debug\",\"seed\"")
--- a/crates/gateway/tests/gateway_process/harness/gateway.rs
+++ b/crates/gateway/tests/gateway_process/harness/gateway.rs
@@ -161,6 +161,11 @@
         self.process.processor_ticks()
     }
 
+    /// Returns the largest resident memory of the process so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        self.process.peak_memory_bytes()
+    }
+
     /// Sends SIGTERM and returns at once; the gateway may be paused.
     pub fn send_sigterm(&self) {
         self.process.send_signal(Signal::TERM);
--- a/crates/gateway/tests/gateway_process/harness/gateway_process.rs
+++ b/crates/gateway/tests/gateway_process/harness/gateway_process.rs
@@ -140,6 +140,18 @@
             .sum()
     }
 
+    /// Returns the largest resident memory of the process so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.pid.as_raw_nonzero());
+        let status = std::fs::read_to_string(path).expect("the process should be running");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kibibytes = line.and_then(|line| line.split_whitespace().next());
+        let kibibytes: u64 = kibibytes
+            .and_then(|number| number.parse().ok())
+            .expect("the status should state the peak");
+        kibibytes << 10
+    }
+
     /// Pauses the process with SIGSTOP until [`Self::resume`], and waits until it is stopped.
     pub fn pause(&self) {
         self.send_signal(Signal::STOP);
--- a/crates/gateway/tests/gateway_process/races/mod.rs
+++ b/crates/gateway/tests/gateway_process/races/mod.rs
@@ -7,6 +7,7 @@
 mod discovery_watch;
 mod idle_close;
 mod local_shortage;
+mod memory_limit;
 mod node_connections;
 mod pipelining;
 mod reload;
--- a/crates/gateway/tests/gateway_process/races/pipelining.rs
+++ b/crates/gateway/tests/gateway_process/races/pipelining.rs
@@ -46,8 +46,8 @@
 /// How long the node that responds gets for more requests than the budget allows.
 const OBSERVATION_TIME: Duration = Duration::from_millis(500);
 
-/// A client sends more writes at once than the gateway buffers, and the node of its first command is
-/// silent. Guards against a command without a reply: those that don't fit are rejected, in their
+/// A client sends more writes at once than the gateway buffers, and the node of its first command
+/// is silent. Guards against a command without a reply: those that don't fit are rejected, in their
 /// order, and the connection stays open.
 #[test]
 fn commands_that_exceed_the_input_limit_are_rejected_in_order() {
