Count the parameter lists of unfinished requests against the memory budget

Cause: only the bodies of unfinished requests were counted; a list of up to 64 KiB was kept beside each. Change: bodies, lists, names and ids are counted; the budget keeps its size.

--- a/crates/gateway/src/dispatcher/submit.rs
+++ b/crates/gateway/src/dispatcher/submit.rs
@@ -47,7 +47,7 @@
             return id;
         }
         self.volume_counters.record_received(request.volume);
-        if self.requests.has_capacity(request.body.len()) {
+        if self.requests.has_capacity(&request) {
             self.accept(id, request, reply_slot, now, timers);
         } else {
             self.reject_over_memory_budget(&request, reply_slot);
--- a/crates/gateway/src/dispatcher/unfinished_requests.rs
+++ b/crates/gateway/src/dispatcher/unfinished_requests.rs
@@ -2,7 +2,7 @@
 
 use super::unfinished_request::{AwaitedAttempt, UnfinishedRequest};
 use crate::memory_budget::MemoryBudget;
-use crate::storage_request::AttemptId;
+use crate::storage_request::{AttemptId, StorageRequest};
 use io_scheduler::RequestId;
 use std::collections::{HashMap, HashSet};
 
@@ -15,9 +15,9 @@
     client_request_ids: HashSet<Box<str>>,
     /// Number of the next request id.
     next_id: u64,
-    /// Total size of the bodies of `requests`, in bytes.
-    buffered_body_bytes: usize,
-    /// Limits the number of `requests` and the total size of their bodies.
+    /// Total of [`StorageRequest::buffered_bytes`] of `requests`.
+    buffered_bytes: usize,
+    /// Limits the number of `requests` and the total size of their texts and bodies.
     budget: MemoryBudget,
 }
 
@@ -28,7 +28,7 @@
             requests: HashMap::new(),
             client_request_ids: HashSet::new(),
             next_id: 0,
-            buffered_body_bytes: 0,
+            buffered_bytes: 0,
             budget,
         }
     }
@@ -45,16 +45,16 @@
         self.client_request_ids.contains(client_request_id)
     }
 
-    /// Returns whether the memory budget allows another request with a body of this many bytes.
-    pub(super) fn has_capacity(&self, body_bytes: usize) -> bool {
+    /// Returns whether the memory budget allows another request.
+    pub(super) fn has_capacity(&self, request: &StorageRequest) -> bool {
         self.requests.len() < self.budget.max_requests
-            && self.buffered_body_bytes + body_bytes <= self.budget.request_body_bytes
+            && self.buffered_bytes + request.buffered_bytes() <= self.budget.request_bytes
     }
 
     /// Adds a request. Its client request id must not be that of another unfinished request.
     pub(super) fn insert(&mut self, id: RequestId, unfinished: UnfinishedRequest) {
         let request = unfinished.storage_request();
-        self.buffered_body_bytes += request.body.len();
+        self.buffered_bytes += request.buffered_bytes();
         self.client_request_ids
             .insert(request.client_request_id.clone());
         self.requests.insert(id, unfinished);
@@ -88,7 +88,7 @@
         }
         let removed = self.requests.remove(&id)?;
         let request = removed.storage_request();
-        self.buffered_body_bytes -= request.body.len();
+        self.buffered_bytes -= request.buffered_bytes();
         self.client_request_ids.remove(&request.client_request_id);
         Some(removed)
     }
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -14,9 +14,9 @@
 /// the allocator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
-    /// Total bytes of the bodies of unfinished requests. A request that would make the total exceed
-    /// this limit is rejected.
-    pub request_body_bytes: usize,
+    /// Total bytes of the bodies, parameter lists and names of unfinished requests. A request that
+    /// would make the total exceed this limit is rejected.
+    pub request_bytes: usize,
     /// Total bytes of replies that have not been written to clients yet, and of the memory that is
     /// reserved for replies that will have to wait for earlier ones. A command that would make the
     /// total exceed this limit is run only if its client has no pending reply; above twice this
@@ -48,8 +48,8 @@
     const VALUE_DIVISOR: usize = 32;
     /// Complete commands that wait may take the bytes for input divided by this.
     const WAITING_COMMAND_DIVISOR: usize = 2;
-    /// Estimated memory of a request without its body, in bytes. Includes its entries in all
-    /// tables.
+    /// Estimated memory of a request without its texts and its body, in bytes. Includes its entries
+    /// in all tables.
     const REQUEST_OVERHEAD_BYTES: usize = 2 << 10;
     /// Upper bound of `max_value_bytes`. If a node announces a longer value, the length is taken to
     /// be corrupt.
@@ -68,7 +68,7 @@
         let memory_bytes = memory_mb * Self::BYTES_PER_MIB;
         let buffer_bytes = memory_bytes / Self::BUFFER_DIVISOR;
         MemoryBudget {
-            request_body_bytes: buffer_bytes,
+            request_bytes: buffer_bytes,
             unsent_reply_bytes: buffer_bytes,
             input_bytes: buffer_bytes,
             sftp_file_bytes: buffer_bytes,
--- a/crates/gateway/src/node_protocol/sftp/connection_state.rs
+++ b/crates/gateway/src/node_protocol/sftp/connection_state.rs
@@ -23,7 +23,7 @@
         /// Content of the object to write; empty for other operations.
         ///
         /// This is a copy: the request keeps its own body until it is finished, and
-        /// [`crate::memory_budget::MemoryBudget::request_body_bytes`] counts only that one. An
+        /// [`crate::memory_budget::MemoryBudget::request_bytes`] counts only that one. An
         /// upload therefore takes twice the counted memory, and three times while [`Upload::new`]
         /// splits this copy.
         body: Vec<u8>,
--- a/crates/gateway/src/storage_request/request.rs
+++ b/crates/gateway/src/storage_request/request.rs
@@ -53,6 +53,16 @@
     pub parameters: RequestParameters,
 }
 
+impl StorageRequest {
+    /// Returns the size in bytes of the texts and the body, which a client may make long.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        let name_bytes = self.object_name.as_ref().map_or(0, |name| name.len());
+        let list_bytes = self.parameters.before_timeout.len() + self.parameters.after_timeout.len();
+        self.body.len() + list_bytes + name_bytes + self.client_request_id.len()
+    }
+}
+
 /// The parameter list for RESP2 nodes, as a RESP2 client sent it or as generated for an SFTP
 /// client, split around the value of its timeout. Both parts are sent to the node unchanged, with
 /// the remaining time as the value between them.
--- a/crates/gateway/tests/gateway_process/harness/requests.rs
+++ b/crates/gateway/tests/gateway_process/harness/requests.rs
@@ -40,6 +40,16 @@
     encode_read_request(id).replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d657")
 }
 
+/// A read from shard 0 with an additional parameter of an unknown name, whose value has this many
+/// bytes.
+pub fn encode_read_request_with_long_list(id: &str, value_bytes: usize) -> String {
+    let value = "v".repeat(value_bytes);
+    encode_command(&format!(
+        "IO.IN 7f3a9c21e0b4d655 {id} \
+         c=read,t=gold,d=5000,volume=00000000000000a1,units=2,shard=0,hosts=1,unknown={value}"
+    ))
+}
+
 /// A read of a class that the settings do not define.
 pub fn encode_read_request_of_unknown_class(id: &str) -> String {
     encode_command(&format!(
--- a/crates/gateway/tests/gateway_process/races/memory_limit.rs
+++ b/crates/gateway/tests/gateway_process/races/memory_limit.rs
@@ -3,7 +3,9 @@
 use crate::harness::cluster::TestCluster;
 use crate::harness::config::with_32_mib_of_memory_and_1024_descriptors;
 use crate::harness::connection::Connection;
-use crate::harness::requests::{encode_read_request, encode_write_request_with_body};
+use crate::harness::requests::{
+    encode_read_request, encode_read_request_with_long_list, encode_write_request_with_body,
+};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 
 /// The memory limit of the gateway in bytes.
@@ -52,3 +54,14 @@
         read + &write[..60_000]
     });
 }
+
+/// Each client sends several reads whose parameter lists have 60,000 bytes. Guards against requests
+/// of which only the body is counted.
+#[test]
+fn requests_with_long_parameter_lists_stay_within_the_memory_limit() {
+    expect_memory_limit_to_hold(|number| {
+        (0..3)
+            .map(|index| encode_read_request_with_long_list(&format!("r{number}-{index}"), 60_000))
+            .collect()
+    });
+}
--- a/crates/gateway/tests/in_process/configuration.rs
+++ b/crates/gateway/tests/in_process/configuration.rs
@@ -77,7 +77,7 @@
             .map_err(|error| error.to_string())
     };
     let small = budget(r#"{"memory_mb":32,"sockets":256}"#).expect("32 MiB should be accepted");
-    let total = small.request_body_bytes
+    let total = small.request_bytes
         + small.unsent_reply_bytes
         + small.input_bytes
         + small.sftp_file_bytes
