Visit only flows with queued requests when a shard dispatches

Cause: ShardQueue::heads, min_share_tag and requests_at_heads_while visited the flows of all volumes of the last minute, also those without requests, so that the time of a request grew with their number. Change: a shard's queue keeps the volumes whose flow has requests.

--- a/crates/scheduler/src/dmclock/shard_queue.rs
+++ b/crates/scheduler/src/dmclock/shard_queue.rs
@@ -12,13 +12,16 @@
 use crate::request::UnfinishedRequest;
 use crate::time::Seconds;
 use crate::volume::{Volume, VolumeTable};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The queue of one shard.
 #[derive(Default)]
 pub struct ShardQueue {
     /// Requests that can still meet their latency objective, by volume.
     flows: BTreeMap<VolumeId, Flow>,
+    /// The volumes whose flow has requests. Only these flows are visited at a dispatch, so that its
+    /// cost does not depend on the number of volumes whose tags are stored.
+    backlogged: BTreeSet<VolumeId>,
     /// Requests that can no longer meet their latency objective, ordered by deadline.
     late: TimeOrderedQueue<RequestId>,
     /// Units of all queued requests, the late ones included.
@@ -49,6 +52,7 @@
             self.share_tag_offset = min_share_tag.unwrap_or(idle_share_tag) - now;
         }
         flow.insert(unfinished, position, volume, self.share_tag_offset, now);
+        self.backlogged.insert(request.volume);
     }
 
     /// Returns the smallest share tag of the requests at the heads of the flows.
@@ -64,6 +68,9 @@
         self.late.remove(request.deadline, request.id);
         if let Some(flow) = self.flows.get_mut(&request.volume) {
             flow.remove(request.id, volume, self.share_tag_offset);
+            if flow.is_empty() {
+                self.backlogged.remove(&request.volume);
+            }
         }
     }
 
@@ -90,6 +97,9 @@
             .get_mut(&request.volume)
             .expect("invariant: a queued request has a flow");
         flow.pop_head();
+        if flow.is_empty() {
+            self.backlogged.remove(&request.volume);
+        }
         if phase == Phase::Weight {
             flow.reduce_reservation_tags(request.units, reservation);
         }
@@ -105,21 +115,27 @@
 
     /// Returns the head of each flow.
     pub fn heads(&self) -> impl Iterator<Item = (VolumeId, &QueuedRequest)> {
-        self.flows
-            .iter()
-            .filter_map(|(volume, flow)| Some((*volume, flow.head()?)))
+        self.backlogged_flows()
+            .filter_map(|(volume, flow)| Some((volume, flow.head()?)))
     }
 
     /// Returns, for each flow, the requests from its head up to the first one that does not meet
     /// `condition`.
     pub fn requests_at_heads_while(&self, condition: impl Fn(RequestId) -> bool) -> Vec<RequestId> {
         let mut requests = Vec::new();
-        for flow in self.flows.values() {
+        for (_, flow) in self.backlogged_flows() {
             requests.extend(flow.requests().take_while(|id| condition(*id)));
         }
         requests
     }
 
+    /// Returns the flows with requests, by volume.
+    fn backlogged_flows(&self) -> impl Iterator<Item = (VolumeId, &Flow)> {
+        self.backlogged
+            .iter()
+            .filter_map(|volume| Some((*volume, self.flows.get(volume)?)))
+    }
+
     /// Returns the late requests, earliest deadline first.
     pub fn late_requests(&self) -> impl Iterator<Item = RequestId> + '_ {
         self.late.iter()
@@ -142,7 +158,7 @@
 
     /// Returns whether a request is queued that can still meet its latency objective.
     pub fn has_on_time_requests(&self) -> bool {
-        self.heads().next().is_some()
+        !self.backlogged.is_empty()
     }
 
     /// Returns whether a late request is queued.
