Bound the number of idle volumes, evicting those with the fewest requests

Cause: VolumeTable removed a volume 60 s after its last request, and had no bound by number. Evidence: memory grows with new volumes, and not with one volume and one shard. Change: at most 4,096 volumes without unfinished requests; the ones with the fewest requests are evicted. If an evicted one had spent tokens, buckets of added volumes count as empty since then. Result: three new tests of the scheduler; with the bound taken out all three fail, without the count of requests the test of steady use fails, without the empty bucket the test of the limit fails.

--- a/crates/scheduler/src/api/mod.rs
+++ b/crates/scheduler/src/api/mod.rs
@@ -45,6 +45,24 @@
     Zone
 }
 
+/// Size of a table whose keys clients choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSize {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of entries beyond which entries that no request needs are evicted.
+    pub limit: usize,
+    /// Number of entries evicted since the start, beside those removed for their age.
+    pub evicted: u64,
+}
+
+/// Sizes of the tables whose keys clients choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Volumes with recent requests.
+    pub volumes: TableSize,
+}
+
 /// Number of entries in the scheduler's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StateSizes {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,7 +20,7 @@
 mod wakeup;
 
 use crate::api::{
-    Action, Endpoint, EndpointListEvent, Event, Micros, RequestId, Settings, StateSizes,
+    Action, Endpoint, EndpointListEvent, Event, Micros, RequestId, Settings, StateSizes, TableSizes,
 };
 use crate::dmclock::ShardQueues;
 use crate::endpoints::{EndpointPolling, ListConfirmation, NodeTable};
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Returns the sizes of the tables whose keys clients choose.
+    #[must_use]
+    pub fn table_sizes(&self) -> TableSizes {
+        TableSizes {
+            volumes: self.volumes.size(),
+        }
+    }
+
     /// Handles all events that occurred at `now`, then appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
--- a/crates/scheduler/src/scheduler/cleanup.rs
+++ b/crates/scheduler/src/scheduler/cleanup.rs
@@ -7,9 +7,11 @@
 
 impl Scheduler {
     /// Removes idle volumes and their flows, and shards that have no node, no flow and no queued
-    /// request. Runs at most once per cleanup interval.
+    /// request. Runs once per cleanup interval, and earlier if a table exceeds its limit, in order
+    /// to evict entries.
     pub(super) fn clean_up(&mut self) {
-        if self.now - self.last_cleanup_at < CLEANUP_INTERVAL {
+        let is_due = self.now - self.last_cleanup_at >= CLEANUP_INTERVAL;
+        if !is_due && !self.volumes.exceeds_limit() {
             return;
         }
         self.last_cleanup_at = self.now;
@@ -19,6 +21,7 @@
             .map(|unfinished| unfinished.request().volume)
             .collect();
         self.volumes.remove_idle(&in_use, self.now);
+        self.volumes.evict_excess(&in_use, self.now);
         let nodes = &self.nodes;
         self.queues
             .remove_idle(&self.volumes, |shard| nodes.node_of(shard).is_some());
--- a/crates/scheduler/src/volume/mod.rs
+++ b/crates/scheduler/src/volume/mod.rs
@@ -38,6 +38,8 @@
     bucket: TokenBucket,
     /// Service that the volume received from all nodes through all hosts.
     usage: Usage,
+    /// Number of requests received.
+    received_requests: u64,
 }
 
 impl Volume {
@@ -52,6 +54,7 @@
                 || settings.reports_remote_units,
             bucket: TokenBucket::empty(started_at),
             usage: Usage::default(),
+            received_requests: 0,
         }
     }
 
@@ -66,6 +69,7 @@
         shard: Option<Shard>,
         now: Micros,
     ) {
+        self.received_requests += 1;
         self.bucket.refill(plan, self.host_count, now);
         self.host_count = host_count.max(MIN_HOST_COUNT);
         self.shards.extend(shard);
@@ -144,7 +148,22 @@
     /// Returns whether the volume can be removed without losing state: its token bucket is full or
     /// it has no limit, and for `retention`, no request was received and no tokens were consumed.
     fn is_removable(&self, retention: Micros, now: Micros) -> bool {
+        self.has_full_bucket(now) && now - self.active_at() >= retention
+    }
+
+    /// Returns whether the token bucket is full, or the volume has no limit.
+    fn has_full_bucket(&self, now: Micros) -> bool {
         let capacity = self.plan.burst_capacity / self.host_count;
-        self.has_tokens(capacity, now) && now - self.bucket.refilled_at() >= retention
+        self.has_tokens(capacity, now)
+    }
+
+    /// Returns when a request was last received or tokens were last consumed.
+    fn active_at(&self) -> Micros {
+        self.bucket.refilled_at()
+    }
+
+    /// Returns the number of requests received.
+    fn received_requests(&self) -> u64 {
+        self.received_requests
     }
 }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use io_scheduler::{
     Action, ClassIndex, CompletedAttempt, Endpoint, EndpointListEvent, EndpointStatus, Event,
     Idempotency, Micros, NodeId, Outcome, PlanIndex, Request, RequestClass, RequestId, Scheduler,
-    Settings, Shard, SlowStart, Units, UnitsPerSecond, VolumeId, VolumePlan, Zone,
+    Settings, Shard, SlowStart, TableSizes, Units, UnitsPerSecond, VolumeId, VolumePlan, Zone,
 };
 
 pub const MILLISECOND: Micros = 1_000;
@@ -147,6 +147,11 @@
         actions
     }
 
+    /// Returns the sizes of the tables whose keys clients choose.
+    pub fn table_sizes(&self) -> TableSizes {
+        self.scheduler.table_sizes()
+    }
+
     /// Sets the clock, then passes events to the scheduler.
     pub fn handle_at(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.now = now;
--- /dev/null
+++ b/crates/scheduler/tests/table_limits.rs
@@ -0,0 +1,98 @@
+//! Limits on the number of entries in the tables whose keys clients choose.
+
+mod common;
+
+use common::{
+    default_settings, dispatched_requests, served, volume_plan, SchedulerHarness, MILLISECOND,
+    SECOND,
+};
+use io_scheduler::{Settings, Units};
+
+/// The plan without a limit.
+const UNLIMITED: usize = 0;
+/// The plan that allows one unit per second, and five at once.
+const LIMITED: usize = 1;
+/// More volumes than the table holds.
+const VOLUMES: u64 = 10_000;
+/// Maximum number of volumes without unfinished requests.
+const MAX_VOLUMES: usize = 4_096;
+/// First id of the volumes that are named once.
+const FIRST_VOLUME: u64 = 1_000;
+
+/// Returns settings with the plans [`UNLIMITED`] and [`LIMITED`].
+fn settings() -> Settings {
+    let mut settings = default_settings();
+    let mut limited = volume_plan(0.0, 1.0, 1.0);
+    limited.burst_capacity = Units(5.0);
+    settings.plans = vec![volume_plan(0.0, 1.0, 0.0), limited];
+    settings
+}
+
+/// Sends a request of a volume to node 0, and completes it if it is dispatched at once. Returns
+/// whether it is.
+fn serve(harness: &mut SchedulerHarness, volume: u64, plan: usize, units: f64) -> bool {
+    let mut request = harness.request_of_volume(volume, plan, harness.now + 60 * SECOND);
+    request.units = Units(units);
+    let id = request.id.0;
+    let is_dispatched = dispatched_requests(&harness.receive(request)).contains(&id);
+    if is_dispatched {
+        harness.handle(&[served(id, MILLISECOND)]);
+    }
+    is_dispatched
+}
+
+/// Guards against state that grows with each new volume until its age limit is reached.
+#[test]
+fn number_of_volumes_is_bounded() {
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    harness.raise_concurrency_limit(0);
+    for volume in 0..VOLUMES {
+        harness.now += MILLISECOND;
+        assert!(serve(&mut harness, FIRST_VOLUME + volume, UNLIMITED, 1.0));
+        let volumes = harness.table_sizes().volumes;
+        // The volume of the request that is being handled is not idle.
+        assert!(volumes.entries <= MAX_VOLUMES + 1, "{volumes:?}");
+    }
+    assert!(harness.table_sizes().volumes.evicted > 0);
+}
+
+/// A volume is used once a second while a client names ever new volumes, some of which have spent
+/// their tokens when they are evicted. Guards against evicting the volume in steady use: its new
+/// token bucket would count as empty, so that its request would have to wait.
+#[test]
+fn volume_in_steady_use_is_not_evicted_by_ever_new_volumes() {
+    const STEADY: u64 = 1;
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    harness.raise_concurrency_limit(0);
+    harness.now += 10 * SECOND;
+    assert!(serve(&mut harness, STEADY, LIMITED, 1.0));
+    for round in 0..5 {
+        assert!(serve(&mut harness, STEADY, LIMITED, 1.0), "round {round}");
+        for volume in 0..VOLUMES / 2 {
+            harness.now += SECOND / 10_000;
+            let volume = FIRST_VOLUME + round * VOLUMES + volume;
+            serve(&mut harness, volume, UNLIMITED, 1.0);
+        }
+        serve(&mut harness, FIRST_VOLUME + round, LIMITED, 5.0);
+        harness.now += SECOND / 2;
+    }
+    assert!(harness.table_sizes().volumes.evicted > 0);
+}
+
+/// A volume has used up its limit when it is evicted. Guards against a full token bucket when it is
+/// added again.
+#[test]
+fn eviction_does_not_restore_the_tokens_of_a_volume() {
+    const SPENT: u64 = 1;
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    harness.raise_concurrency_limit(0);
+    harness.now += 10 * SECOND;
+    assert!(serve(&mut harness, SPENT, LIMITED, 5.0));
+    for volume in 0..VOLUMES {
+        harness.now += 1;
+        serve(&mut harness, FIRST_VOLUME + volume, UNLIMITED, 1.0);
+    }
+    assert!(harness.table_sizes().volumes.evicted > 0);
+    harness.now += SECOND;
+    assert!(!serve(&mut harness, SPENT, LIMITED, 5.0));
+}
