Bound the queues of shards without a node, and the flows without requests

Cause: ShardQueues kept a queue and a flow for each shard that was named, as long as the volume of the flow was in use. Change: once 256 queues were added, those without requests are evicted whose shard no node holds; of the flows without requests the 16,384 used last are kept.

--- a/crates/scheduler/src/api/mod.rs
+++ b/crates/scheduler/src/api/mod.rs
@@ -61,6 +61,10 @@
 pub struct TableSizes {
     /// Volumes with recent requests.
     pub volumes: TableSize,
+    /// Queues of shards.
+    pub shards: TableSize,
+    /// Flows: pairs of a volume and a shard with recent requests.
+    pub flows: TableSize,
 }
 
 /// Number of entries in the scheduler's state.
--- a/crates/scheduler/src/dmclock/flow.rs
+++ b/crates/scheduler/src/dmclock/flow.rs
@@ -74,6 +74,11 @@
         self.queue.iter().map(|queued| queued.id)
     }
 
+    /// Returns when a request was last added to this flow.
+    pub fn tagged_at(&self) -> Seconds {
+        self.tagged_at
+    }
+
     /// Returns the share tag of the last dispatched request.
     pub fn last_share_tag(&self) -> Seconds {
         self.last_tags.share
--- a/crates/scheduler/src/dmclock/shard_queue.rs
+++ b/crates/scheduler/src/dmclock/shard_queue.rs
@@ -32,17 +32,18 @@
 }
 
 impl ShardQueue {
-    /// Queues a request and computes its tags.
+    /// Queues a request and computes its tags. Returns whether a flow was added for it.
     pub fn insert(
         &mut self,
         unfinished: &UnfinishedRequest,
         position: Position,
         volume: &Volume,
         now: Seconds,
-    ) {
+    ) -> bool {
         let request = unfinished.request();
         self.queued_units += request.units;
         let min_share_tag = self.min_share_tag();
+        let flows_before = self.flows.len();
         let flow = self
             .flows
             .entry(request.volume)
@@ -53,6 +54,7 @@
         }
         flow.insert(unfinished, position, volume, self.share_tag_offset, now);
         self.backlogged.insert(request.volume);
+        self.flows.len() > flows_before
     }
 
     /// Returns the smallest share tag of the requests at the heads of the flows.
@@ -171,6 +173,23 @@
         !self.has_on_time_requests() && !self.has_late_requests()
     }
 
+    /// Returns the number of flows.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns the volumes of the flows without requests, with the time at which a request was last
+    /// added to each.
+    pub fn idle_flows(&self) -> impl Iterator<Item = (Seconds, VolumeId)> + '_ {
+        let idle = self.flows.iter().filter(|(_, flow)| flow.is_empty());
+        idle.map(|(volume, flow)| (flow.tagged_at(), *volume))
+    }
+
+    /// Removes the flow of a volume, which must have no requests.
+    pub fn remove_flow(&mut self, volume: VolumeId) {
+        self.flows.remove(&volume);
+    }
+
     /// Returns whether the queue stores the tags of any volume.
     pub fn has_flows(&self) -> bool {
         !self.flows.is_empty()
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -122,6 +122,8 @@
     pub fn table_sizes(&self) -> TableSizes {
         TableSizes {
             volumes: self.volumes.size(),
+            shards: self.queues.size(),
+            flows: self.queues.flow_size(),
         }
     }
 
--- a/crates/scheduler/src/scheduler/cleanup.rs
+++ b/crates/scheduler/src/scheduler/cleanup.rs
@@ -11,7 +11,8 @@
     /// to evict entries.
     pub(super) fn clean_up(&mut self) {
         let is_due = self.now - self.last_cleanup_at >= CLEANUP_INTERVAL;
-        if !is_due && !self.volumes.exceeds_limit() {
+        let is_over_limit = self.volumes.exceeds_limit() || self.queues.exceed_limits();
+        if !is_due && !is_over_limit {
             return;
         }
         self.last_cleanup_at = self.now;
@@ -23,7 +24,8 @@
         self.volumes.remove_idle(&in_use, self.now);
         self.volumes.evict_excess(&in_use, self.now);
         let nodes = &self.nodes;
-        self.queues
-            .remove_idle(&self.volumes, |shard| nodes.node_of(shard).is_some());
+        let has_node = |shard| nodes.node_of(shard).is_some();
+        self.queues.remove_idle(&self.volumes, has_node);
+        self.queues.evict_excess(has_node);
     }
 }
--- a/crates/scheduler/src/scheduler/intake.rs
+++ b/crates/scheduler/src/scheduler/intake.rs
@@ -73,8 +73,7 @@
         };
         let volume = &self.volumes[unfinished.request().volume];
         self.queues
-            .mark_backlogged_and_get_mut(shard)
-            .insert(unfinished, position, volume, tag_time);
+            .insert(shard, unfinished, position, volume, tag_time);
         if let Some(unfinished) = self.requests.get_mut(&id) {
             unfinished.mark_queued(shard);
         }
--- a/crates/scheduler/tests/table_limits.rs
+++ b/crates/scheduler/tests/table_limits.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{
-    default_settings, dispatched_requests, served, volume_plan, SchedulerHarness, MILLISECOND,
-    SECOND,
+    attempt_completed, default_settings, dispatched_requests, served, volume_plan,
+    SchedulerHarness, MILLISECOND, SECOND,
 };
-use io_scheduler::{Settings, Units};
+use io_scheduler::{Outcome, Settings, Shard, Units};
 
 /// The plan without a limit.
 const UNLIMITED: usize = 0;
@@ -96,3 +96,49 @@
     harness.now += SECOND;
     assert!(!serve(&mut harness, SPENT, LIMITED, 5.0));
 }
+
+/// Passes a request of a volume for a shard, whose deadline passes before the next one. Returns
+/// whether it was dispatched at once, and completes it.
+fn serve_or_expire(harness: &mut SchedulerHarness, volume: u64, shard: u64) -> bool {
+    harness.now += MILLISECOND;
+    let mut request = harness.request_of_volume(volume, UNLIMITED, harness.now + MILLISECOND);
+    request.shard = Some(Shard(shard));
+    let id = request.id.0;
+    let is_dispatched = dispatched_requests(&harness.receive(request)).contains(&id);
+    if is_dispatched {
+        harness.handle(&[attempt_completed(id, 0, shard, Outcome::Served, 0)]);
+    }
+    is_dispatched
+}
+
+/// A client uses one volume and names ever new shards that no node holds. Guards against queues
+/// that are kept for as long as the volume is in use.
+#[test]
+fn number_of_shards_without_a_node_is_bounded() {
+    const MAX_QUEUES: usize = 300;
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    for shard in 0..5_000 {
+        assert!(!serve_or_expire(&mut harness, 1, 1_000 + shard));
+        let shards = harness.table_sizes().shards;
+        assert!(shards.entries <= MAX_QUEUES, "{shards:?}");
+    }
+    assert!(serve_or_expire(&mut harness, 1, 0));
+    assert!(harness.table_sizes().shards.evicted > 0);
+}
+
+/// A client uses many volumes at many nodes. Guards against a flow for each pair, of which there
+/// are as many as volumes times nodes.
+#[test]
+fn number_of_idle_flows_is_bounded() {
+    const MAX_FLOWS: usize = 16_384;
+    const NODES: u64 = 20;
+    let mut harness = SchedulerHarness::new(settings(), NODES);
+    for number in 0..40_000 {
+        serve_or_expire(&mut harness, number / NODES, number % NODES);
+        let flows = harness.table_sizes().flows;
+        assert!(flows.entries <= MAX_FLOWS + 1, "{flows:?}");
+    }
+    let sizes = harness.table_sizes();
+    assert!(sizes.flows.evicted > 0, "{sizes:?}");
+    assert_eq!(sizes.volumes.evicted, 0, "{sizes:?}");
+}
