Bound the stored latency objectives, and find windows without counting their entries

Cause: LatencyObjectives had a bound by age only and scanned the whole table; RetryBudgetUsage counted all entries of its windows at each check. Change: objectives are ordered by their end, at most 8,192 are kept, the one that ends first is evicted; the start of a window is found by a binary search. Result: the new test fails without the bound (8,193 of 8,192).

--- a/crates/scheduler/src/api/mod.rs
+++ b/crates/scheduler/src/api/mod.rs
@@ -65,6 +65,8 @@
     pub shards: TableSize,
     /// Flows: pairs of a volume and a shard with recent requests.
     pub flows: TableSize,
+    /// Latency objectives that a repeat of a request would keep.
+    pub objectives: TableSize,
 }
 
 /// Number of entries in the scheduler's state.
--- a/crates/scheduler/src/collections/sliding_window.rs
+++ b/crates/scheduler/src/collections/sliding_window.rs
@@ -23,6 +23,12 @@
         self.entries.push_back((now, value));
     }
 
+    /// Returns the number of values that are no older than `window`.
+    pub fn count_within(&self, window: Micros, now: Micros) -> usize {
+        let older = self.entries.partition_point(|(at, _)| now - at > window);
+        self.entries.len() - older
+    }
+
     /// Returns the values that are no older than `window`.
     pub fn within(&self, window: Micros, now: Micros) -> impl Iterator<Item = &T> {
         self.entries
--- a/crates/scheduler/src/collections/time_ordered_queue.rs
+++ b/crates/scheduler/src/collections/time_ordered_queue.rs
@@ -38,6 +38,11 @@
         self.entries.pop_first().map(|(_, entry)| entry)
     }
 
+    /// Removes and returns the entry with the earliest time.
+    pub fn pop_first(&mut self) -> Option<T> {
+        self.entries.pop_first().map(|(_, entry)| entry)
+    }
+
     /// Returns the earliest time.
     pub fn next_time(&self) -> Option<Micros> {
         self.entries.first().map(|(at, _)| *at)
--- a/crates/scheduler/src/request/latency_objective.rs
+++ b/crates/scheduler/src/request/latency_objective.rs
@@ -9,7 +9,8 @@
 //! served attempt. A repeated request (repeat) is recognized by volume, object and class.
 
 use super::UnfinishedRequest;
-use crate::api::{ClassIndex, Micros, ObjectKey, Request, RequestClass, VolumeId};
+use crate::api::{ClassIndex, Micros, ObjectKey, Request, RequestClass, TableSize, VolumeId};
+use crate::collections::TimeOrderedQueue;
 use crate::time::Latency;
 use std::collections::BTreeMap;
 
@@ -18,8 +19,11 @@
 /// received.
 const REPEAT_WINDOW: Micros = 1_000_000;
 
+/// Maximum number of stored objectives.
+const MAX_OBJECTIVES: usize = 8_192;
+
 /// Fields that are the same in a request and its repeat; their ids differ.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct RepeatKey {
     /// Volume of both requests.
     volume: VolumeId,
@@ -46,6 +50,10 @@
 pub struct LatencyObjectives {
     /// End of the objective of each request, by the fields that its repeat has in common with it.
     objective_ends: BTreeMap<RepeatKey, Micros>,
+    /// The keys of `objective_ends`, ordered by the end of the objective.
+    by_end: TimeOrderedQueue<RepeatKey>,
+    /// Number of objectives evicted so far.
+    evicted: u64,
 }
 
 impl LatencyObjectives {
@@ -61,19 +69,45 @@
 
     /// Removes and returns the end of the objective of the earlier request that this one repeats.
     fn take_earlier_objective(&mut self, request: &Request) -> Option<Micros> {
-        self.objective_ends.remove(&RepeatKey::of(request)?)
+        self.remove(RepeatKey::of(request)?)
+    }
+
+    /// Removes and returns the end of an objective.
+    fn remove(&mut self, key: RepeatKey) -> Option<Micros> {
+        let objective_ends_at = self.objective_ends.remove(&key)?;
+        self.by_end.remove(objective_ends_at, key);
+        Some(objective_ends_at)
+    }
+
+    /// Returns the number of objectives, its limit and the number of evictions.
+    pub fn size(&self) -> TableSize {
+        TableSize {
+            entries: self.objective_ends.len(),
+            limit: MAX_OBJECTIVES,
+            evicted: self.evicted,
+        }
     }
 
     /// Records the objective of a request that is closed without a known served attempt, in case
-    /// its client sends the request again.
+    /// its client sends the request again. If there are too many, the one that ends first is
+    /// evicted.
     pub fn record_for_repeat(&mut self, unfinished: &UnfinishedRequest, now: Micros) {
         let Some(key) = RepeatKey::of(unfinished.request()) else {
             return;
         };
-        self.objective_ends
-            .retain(|_, objective_ends_at| *objective_ends_at > now - REPEAT_WINDOW);
-        self.objective_ends
-            .insert(key, unfinished.objective_ends_at());
+        while let Some(expired) = self.by_end.pop_expired(now - REPEAT_WINDOW) {
+            self.objective_ends.remove(&expired);
+        }
+        self.remove(key);
+        if self.objective_ends.len() >= MAX_OBJECTIVES {
+            if let Some(evicted) = self.by_end.pop_first() {
+                self.objective_ends.remove(&evicted);
+                self.evicted += 1;
+            }
+        }
+        let objective_ends_at = unfinished.objective_ends_at();
+        self.objective_ends.insert(key, objective_ends_at);
+        self.by_end.insert(objective_ends_at, key);
     }
 }
 
--- a/crates/scheduler/src/retry/retry_budget.rs
+++ b/crates/scheduler/src/retry/retry_budget.rs
@@ -51,8 +51,8 @@
             return true;
         };
         let request_window = budget.window - REQUEST_WINDOW_MARGIN;
-        let requests = self.recent_requests.within(request_window, now).count();
-        let retries = self.recent_retries.within(budget.window, now).count();
+        let requests = self.recent_requests.count_within(request_window, now);
+        let retries = self.recent_retries.count_within(budget.window, now);
         let retries_with_this_one = (retries + 1) as f64;
         retries_with_this_one <= budget.allowance + budget.ratio * requests as f64
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -124,6 +124,7 @@
             volumes: self.volumes.size(),
             shards: self.queues.size(),
             flows: self.queues.flow_size(),
+            objectives: self.objectives.size(),
         }
     }
 
--- a/crates/scheduler/src/volume/table.rs
+++ b/crates/scheduler/src/volume/table.rs
@@ -31,7 +31,7 @@
     /// those that had unfinished requests when they were last counted.
     limit: usize,
     /// When a volume was last evicted whose token bucket was not full.
-    spent_bucket_evicted_at: Micros,
+    partial_bucket_evicted_at: Micros,
     /// Number of volumes evicted so far.
     evicted: u64,
 }
@@ -41,7 +41,7 @@
         VolumeTable {
             volumes: BTreeMap::new(),
             limit: MAX_IDLE_VOLUMES,
-            spent_bucket_evicted_at: Micros::MIN,
+            partial_bucket_evicted_at: Micros::MIN,
             evicted: 0,
         }
     }
@@ -58,7 +58,7 @@
         settings: &Settings,
         started_at: Micros,
     ) -> &mut Volume {
-        let bucket_empty_at = started_at.max(self.spent_bucket_evicted_at);
+        let bucket_empty_at = started_at.max(self.partial_bucket_evicted_at);
         self.volumes
             .entry(id)
             .or_insert_with(|| Volume::new(plan, settings, bucket_empty_at))
@@ -121,7 +121,7 @@
         for (_, _, id) in &idle {
             let evicted = self.volumes.remove(id);
             if evicted.is_some_and(|volume| !volume.has_full_bucket(now)) {
-                self.spent_bucket_evicted_at = now;
+                self.partial_bucket_evicted_at = now;
             }
         }
         self.evicted += idle.len() as u64;
--- a/crates/scheduler/tests/table_limits.rs
+++ b/crates/scheduler/tests/table_limits.rs
@@ -6,7 +6,7 @@
     attempt_completed, default_settings, dispatched_requests, served, volume_plan,
     SchedulerHarness, MILLISECOND, SECOND,
 };
-use io_scheduler::{Outcome, Settings, Shard, Units};
+use io_scheduler::{ObjectKey, Outcome, Settings, Shard, Units};
 
 /// The plan without a limit.
 const UNLIMITED: usize = 0;
@@ -83,18 +83,18 @@
 /// added again.
 #[test]
 fn eviction_does_not_restore_the_tokens_of_a_volume() {
-    const SPENT: u64 = 1;
+    const CONSUMED: u64 = 1;
     let mut harness = SchedulerHarness::new(settings(), 1);
     harness.raise_concurrency_limit(0);
     harness.now += 10 * SECOND;
-    assert!(serve(&mut harness, SPENT, LIMITED, 5.0));
+    assert!(serve(&mut harness, CONSUMED, LIMITED, 5.0));
     for volume in 0..VOLUMES {
         harness.now += 1;
         serve(&mut harness, FIRST_VOLUME + volume, UNLIMITED, 1.0);
     }
     assert!(harness.table_sizes().volumes.evicted > 0);
     harness.now += SECOND;
-    assert!(!serve(&mut harness, SPENT, LIMITED, 5.0));
+    assert!(!serve(&mut harness, CONSUMED, LIMITED, 5.0));
 }
 
 /// Passes a request of a volume for a shard, whose deadline passes before the next one. Returns
@@ -142,3 +142,21 @@
     assert!(sizes.flows.evicted > 0, "{sizes:?}");
     assert_eq!(sizes.volumes.evicted, 0, "{sizes:?}");
 }
+
+/// A client sends requests of ever new objects that are rejected at once. Guards against an
+/// objective that is kept for each until its age limit is reached.
+#[test]
+fn number_of_stored_objectives_is_bounded() {
+    const MAX_OBJECTIVES: usize = 8_192;
+    let mut harness = SchedulerHarness::new(settings(), 1);
+    for object in 0..20_000 {
+        harness.now += MILLISECOND / 10;
+        let mut request = harness.request_of_volume(1, UNLIMITED, harness.now + MILLISECOND);
+        request.key = Some(ObjectKey(object));
+        request.shard = Some(Shard(1_000));
+        harness.receive(request);
+        let objectives = harness.table_sizes().objectives;
+        assert!(objectives.entries <= MAX_OBJECTIVES, "{objectives:?}");
+    }
+    assert!(harness.table_sizes().objectives.evicted > 0);
+}
