Refuse the id of a finished request that may have run and is not idempotent

Cause: UnfinishedRequests knew an id only until its request was finished; a cancelled attempt ends at once, while its node goes on. A request that is not idempotent and has such an id fails with an error and is not forwarded.

--- a/crates/gateway/src/dispatcher/attempts.rs
+++ b/crates/gateway/src/dispatcher/attempts.rs
@@ -74,8 +74,7 @@
         let Some(unfinished) = self.requests.get_mut(attempt.request) else {
             return;
         };
-        let timed_out = result.outcome == Outcome::TimedOut;
-        let Some(completed) = unfinished.remove_attempt(attempt.number, timed_out) else {
+        let Some(completed) = unfinished.remove_attempt(attempt.number, result.outcome) else {
             return;
         };
         let units = unfinished.storage_request().units;
@@ -98,7 +97,7 @@
             }
         }
         self.report_completed(attempt, &completed, &result, now);
-        self.remove_if_finished(attempt.request, timers);
+        self.remove_if_finished(attempt.request, now, timers);
     }
 
     /// Reports the result of an attempt to the scheduler.
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -14,6 +14,7 @@
 mod attempts;
 mod command;
 mod endpoints;
+mod executed_requests;
 mod node_registry;
 mod node_state;
 mod responses;
--- a/crates/gateway/src/dispatcher/responses.rs
+++ b/crates/gateway/src/dispatcher/responses.rs
@@ -20,7 +20,7 @@
         } else {
             Response::Failed
         };
-        self.respond_and_remove_if_finished(id, response, timers);
+        self.respond_and_remove_if_finished(id, response, now, timers);
     }
 
     /// Responds with a timeout to a request that the scheduler has not completed by its deadline.
@@ -49,10 +49,11 @@
         &mut self,
         id: RequestId,
         response: Response,
+        now: Micros,
         timers: &mut TimerQueue,
     ) {
         self.respond(id, response);
-        self.remove_if_finished(id, timers);
+        self.remove_if_finished(id, now, timers);
     }
 
     /// Sends the final response, unless it was already sent or the client has disconnected.
@@ -86,11 +87,23 @@
     }
 
     /// Removes a request that awaits neither a final response nor the result of an attempt, and
-    /// cancels its timer.
-    pub(super) fn remove_if_finished(&mut self, id: RequestId, timers: &mut TimerQueue) {
-        if let Some(removed) = self.requests.remove_finished(id) {
-            let timer = DispatcherTimer::RequestOverdue(id);
-            timers.cancel(removed.overdue_at(), timer.into());
+    /// cancels its timer. Remembers its id if it must not be executed again.
+    pub(super) fn remove_if_finished(
+        &mut self,
+        id: RequestId,
+        now: Micros,
+        timers: &mut TimerQueue,
+    ) {
+        let Some(removed) = self.requests.remove_finished(id) else {
+            return;
+        };
+        let timer = DispatcherTimer::RequestOverdue(id);
+        timers.cancel(removed.overdue_at(), timer.into());
+        let request = removed.storage_request();
+        let is_idempotent = self.is_idempotent.get(request.class.0) == Some(&true);
+        if removed.may_have_executed() && !is_idempotent {
+            self.executed_requests
+                .record(&request.client_request_id, now);
         }
     }
 }
--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -64,7 +64,7 @@
         // handled the event.
         for event in events {
             if let Event::ResponseNotNeeded(id) = event {
-                self.remove_if_finished(id, timers);
+                self.remove_if_finished(id, now, timers);
             }
         }
         for action in actions.drain(..) {
@@ -95,6 +95,7 @@
                 self.respond_and_remove_if_finished(
                     request,
                     Response::Rejected { retry_after },
+                    now,
                     timers,
                 );
             }
--- a/crates/gateway/src/dispatcher/state.rs
+++ b/crates/gateway/src/dispatcher/state.rs
@@ -1,12 +1,15 @@
 //! The state of the dispatcher, its constructor, and the counters that the console prints.
 
 use super::command::Command;
+use super::executed_requests::ExecutedRequests;
 use super::node_registry::NodeRegistry;
 use super::unfinished_requests::UnfinishedRequests;
 use super::volume_counters::{VolumeCounterTable, VolumeCounters};
 use crate::memory_budget::MemoryBudget;
 use deployment_settings::{micros, DeploymentSettings, UnknownValue};
-use io_scheduler::{Action, Event, Micros, RequestId, Scheduler, StateSizes, VolumeId};
+use io_scheduler::{
+    Action, Event, Idempotency, Micros, RequestId, Scheduler, StateSizes, VolumeId,
+};
 use std::collections::BTreeMap;
 
 /// Connects clients, nodes and the scheduler; see the [module](super).
@@ -15,6 +18,10 @@
     pub(super) scheduler: Scheduler,
     /// Requests that await a final response or the result of an attempt.
     pub(super) requests: UnfinishedRequests,
+    /// Ids of finished requests that must not be executed again.
+    pub(super) executed_requests: ExecutedRequests,
+    /// Whether requests of a class may be executed again, by the index of the class.
+    pub(super) is_idempotent: Vec<bool>,
     /// The nodes of the endpoint list.
     pub(super) nodes: NodeRegistry,
     /// Counters of requests and served units, by volume.
@@ -46,9 +53,16 @@
         now: Micros,
     ) -> Result<Dispatcher, UnknownValue> {
         let drain_grace = micros(settings.rules.drain_grace_ms);
+        let scheduler_settings = settings.to_scheduler_settings()?;
+        let classes = scheduler_settings.classes.iter();
+        let is_idempotent = classes
+            .map(|class| class.idempotency == Idempotency::Idempotent)
+            .collect();
         Ok(Dispatcher {
-            scheduler: Scheduler::new(settings.to_scheduler_settings()?, seed, now),
+            scheduler: Scheduler::new(scheduler_settings, seed, now),
             requests: UnfinishedRequests::new(budget),
+            executed_requests: ExecutedRequests::new(budget.max_executed_requests),
+            is_idempotent,
             nodes: NodeRegistry::new(settings.zones.clone(), drain_grace),
             volume_counters: VolumeCounterTable::default(),
             events: Vec::new(),
--- a/crates/gateway/src/dispatcher/submit.rs
+++ b/crates/gateway/src/dispatcher/submit.rs
@@ -1,7 +1,7 @@
 //! Accepts new requests, rejects them, or responds that they are invalid.
 //!
-//! A request with the client request id of an unfinished request is an error of the client; the
-//! response is that it is invalid. A request that would exceed the memory budget is rejected with
+//! A request with the client request id of an unfinished request, or of one that must not be
+//! executed again, is an error of the client; the response is that it is invalid. A request that would exceed the memory budget is rejected with
 //! Retry-After. All others are passed to the scheduler.
 
 use super::command::Command;
@@ -34,12 +34,9 @@
         timers: &mut TimerQueue,
     ) -> RequestId {
         let id = self.requests.allocate_id();
-        if self
-            .requests
-            .contains_client_request_id(&request.client_request_id)
-        {
+        if let Some(error) = self.check_client_request_id(&request, now) {
             // Not counted for the volume, see `VolumeCounters::received`.
-            let response = Response::Invalid(InvalidRequest::DuplicateClientRequestId);
+            let response = Response::Invalid(error);
             self.commands.push(Command::Respond {
                 reply_slot,
                 response,
@@ -55,6 +52,24 @@
         id
     }
 
+    /// Returns why the client request id of a request is invalid, if it is: it is that of an
+    /// unfinished request, or of one that must not be executed again.
+    fn check_client_request_id(
+        &self,
+        request: &StorageRequest,
+        now: Micros,
+    ) -> Option<InvalidRequest> {
+        let id = &request.client_request_id;
+        if self.requests.contains_client_request_id(id) {
+            return Some(InvalidRequest::DuplicateClientRequestId);
+        }
+        if self.executed_requests.contains(id, now) {
+            log::debug!("request {id}: refused, a request with this id may have run");
+            return Some(InvalidRequest::RepeatedClientRequestId);
+        }
+        None
+    }
+
     /// Adds a request to the unfinished ones, sets its timer and reports it to the scheduler.
     fn accept(
         &mut self,
--- a/crates/gateway/src/dispatcher/unfinished_request.rs
+++ b/crates/gateway/src/dispatcher/unfinished_request.rs
@@ -5,7 +5,7 @@
 //! be reported to the scheduler.
 
 use crate::storage_request::{ReplySlot, StorageRequest};
-use io_scheduler::{Micros, NodeId};
+use io_scheduler::{Micros, NodeId, Outcome};
 use std::sync::Arc;
 
 /// How long after the deadline of a request the dispatcher itself fails it, if the scheduler has
@@ -47,6 +47,8 @@
     attempts_started: u32,
     /// Whether the attempt that ended most recently timed out.
     last_attempt_timed_out: bool,
+    /// Whether a node may have executed an attempt that has ended.
+    may_have_executed: bool,
 }
 
 impl UnfinishedRequest {
@@ -63,6 +65,7 @@
             attempts: Vec::new(),
             attempts_started: 0,
             last_attempt_timed_out: false,
+            may_have_executed: false,
         }
     }
 
@@ -107,18 +110,19 @@
         number
     }
 
-    /// Removes an attempt that has ended, and records whether it timed out. Returns `None` if its
+    /// Removes an attempt that has ended, and records what its outcome tells. Returns `None` if its
     /// result is not awaited.
     pub(super) fn remove_attempt(
         &mut self,
         number: u32,
-        timed_out: bool,
+        outcome: Outcome,
     ) -> Option<AwaitedAttempt> {
         let position = self
             .attempts
             .iter()
             .position(|attempt| attempt.number == number)?;
-        self.last_attempt_timed_out = timed_out;
+        self.last_attempt_timed_out = outcome == Outcome::TimedOut;
+        self.may_have_executed |= outcome.may_have_executed();
         Some(self.attempts.remove(position))
     }
 
@@ -143,6 +147,11 @@
         unexecuted.map(|attempt| attempt.number).collect()
     }
 
+    /// Returns whether a node may have executed an attempt that has ended.
+    pub(super) fn may_have_executed(&self) -> bool {
+        self.may_have_executed
+    }
+
     /// Returns whether the request can be removed: no final response and no result of an attempt is
     /// awaited.
     pub(super) fn is_finished(&self) -> bool {
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -37,6 +37,9 @@
     pub max_value_bytes: usize,
     /// Maximum number of unfinished requests. Further requests are rejected.
     pub max_requests: usize,
+    /// Maximum number of finished requests whose ids are remembered, because they must not be
+    /// executed again.
+    pub max_executed_requests: usize,
 }
 
 impl MemoryBudget {
@@ -51,6 +54,11 @@
     /// Estimated memory of a request without its texts and its body, in bytes. Includes its entries
     /// in all tables.
     const REQUEST_OVERHEAD_BYTES: usize = 2 << 10;
+    /// The ids of finished requests may take the memory limit divided by this.
+    const EXECUTED_REQUESTS_DIVISOR: usize = 64;
+    /// Estimated memory of the id of a finished request, in bytes: a hash and a time, in two tables
+    /// that may be twice as large as their content.
+    const EXECUTED_REQUEST_BYTES: usize = 64;
     /// Upper bound of `max_value_bytes`. If a node announces a longer value, the length is taken to
     /// be corrupt.
     const MAX_ACCEPTED_VALUE_BYTES: usize = 1 << 20;
@@ -76,6 +84,9 @@
             max_value_bytes: (memory_bytes / Self::VALUE_DIVISOR)
                 .min(Self::MAX_ACCEPTED_VALUE_BYTES),
             max_requests: buffer_bytes / Self::REQUEST_OVERHEAD_BYTES,
+            max_executed_requests: memory_bytes
+                / Self::EXECUTED_REQUESTS_DIVISOR
+                / Self::EXECUTED_REQUEST_BYTES,
         }
     }
 }
--- a/crates/gateway/src/storage_request/response.rs
+++ b/crates/gateway/src/storage_request/response.rs
@@ -32,6 +32,10 @@
     /// requests and would execute only one of them.
     #[error("the id is that of an open request")]
     DuplicateClientRequestId,
+    /// A finished request that a node may have executed has the same client request id, and must
+    /// not be executed twice.
+    #[error("the id is that of a request that may have run")]
+    RepeatedClientRequestId,
 }
 
 /// The final response to a request. Each request gets exactly one.
--- a/crates/gateway/tests/gateway_process/races/client_close.rs
+++ b/crates/gateway/tests/gateway_process/races/client_close.rs
@@ -3,7 +3,8 @@
 
 use crate::harness::cluster::{serve_request, TestCluster};
 use crate::harness::config::{
-    with_1024_descriptors, with_debug_log, with_long_connect_timeout, without_cancellation,
+    with_1024_descriptors, with_debug_log, with_idempotency_keys_for_1_s,
+    with_long_connect_timeout, without_cancellation,
 };
 use crate::harness::connection::Connection;
 use crate::harness::log_lines;
@@ -186,6 +187,37 @@
     });
 }
 
+/// A client closes while node A is executing its write, and the same id comes again on a new
+/// connection. Guards against a second execution: the write fails, and only a write with a new id
+/// is forwarded.
+fn expect_write_not_to_be_executed_again(edit_config: impl Fn(&str) -> String) {
+    const BODY_BYTES: usize = 10;
+    let cluster = TestCluster::start_with(edit_config);
+    let write = encode_write_request_with_body("w1", BODY_BYTES);
+    let closing_client = cluster.gateway.connect_and_send(&write);
+    let mut first_node_connection = cluster.node_a.accept_request("w1");
+
+    closing_client.close();
+    cluster.gateway.wait_until_input_is_processed();
+    first_node_connection.expect_closed();
+    let mut next_client = cluster.gateway.connect_and_send(&write);
+    next_client.expect_value("-ERR the id is that of a request that may have run");
+
+    next_client.send(encode_write_request_with_body("w2", BODY_BYTES));
+    let mut node = cluster.node_a.accept();
+    serve_request(&mut node, &mut next_client, "w2", "written");
+}
+
+#[test]
+fn write_of_a_closed_client_is_not_executed_again() {
+    expect_write_not_to_be_executed_again(str::to_owned);
+}
+
+#[test]
+fn write_with_an_idempotency_key_of_a_closed_client_is_not_executed_again() {
+    expect_write_not_to_be_executed_again(with_idempotency_keys_for_1_s);
+}
+
 /// The request waits for the successor of a draining node. The successor must not receive it after
 /// the client has closed.
 #[test]
--- a/crates/scheduler/src/api/events.rs
+++ b/crates/scheduler/src/api/events.rs
@@ -95,6 +95,21 @@
     NotDispatched,
 }
 
+impl Outcome {
+    /// Returns whether the node may have executed the request, or may still be executing it.
+    #[must_use]
+    pub fn may_have_executed(self) -> bool {
+        match self {
+            Outcome::Served
+            | Outcome::Error
+            | Outcome::TimedOut
+            | Outcome::Reset
+            | Outcome::Cancelled => true,
+            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotDispatched => false,
+        }
+    }
+}
+
 /// The end of one attempt.
 #[derive(Clone, Debug)]
 pub struct CompletedAttempt {
--- a/crates/scheduler/src/retry/idempotency.rs
+++ b/crates/scheduler/src/retry/idempotency.rs
@@ -10,19 +10,6 @@
 use crate::node::Node;
 use crate::request::UnfinishedRequest;
 
-/// Returns whether a node may have executed an attempt with this outcome, or may still be executing
-/// it.
-pub fn may_have_executed(outcome: Outcome) -> bool {
-    match outcome {
-        Outcome::Served
-        | Outcome::Error
-        | Outcome::TimedOut
-        | Outcome::Reset
-        | Outcome::Cancelled => true,
-        Outcome::Overloaded | Outcome::ConnectFailed | Outcome::NotDispatched => false,
-    }
-}
-
 /// Returns whether a node may still be executing an attempt with this outcome.
 pub fn may_be_executing(outcome: Outcome) -> bool {
     match outcome {
--- a/crates/scheduler/src/scheduler/completion.rs
+++ b/crates/scheduler/src/scheduler/completion.rs
@@ -10,7 +10,7 @@
 use crate::dmclock::Position;
 use crate::node::AttemptMeasurement;
 use crate::request::{Attempt, UnfinishedRequest};
-use crate::retry::idempotency::{client_may_retry, may_be_executing, may_have_executed};
+use crate::retry::idempotency::{client_may_retry, may_be_executing};
 use crate::retry::retry_after::retry_after;
 
 /// Maximum age of the previous usage report, in report periods. If the previous report is older,
@@ -27,7 +27,7 @@
         let Some(unfinished) = self.requests.get_mut(&id) else {
             return;
         };
-        let may_have_executed = may_have_executed(outcome);
+        let may_have_executed = outcome.may_have_executed();
         let Some(attempt) = unfinished.complete_attempt(completed.number, may_have_executed) else {
             return;
         };
