Show how full the tables are in the status, and log evictions from them

Cause: nothing told an operator that a client names ever new volumes or shards. Change: status of the console has two more lines, with entries and limit of each table whose keys clients choose, and with the bytes of the clients' input and replies. A warning tells evictions, for each table at most every 10 s. Result: a test on real sockets waits for the warnings while a client names ever new volumes and shards, and another client is served after them.

--- a/crates/gateway/src/connections/client/client_connections.rs
+++ b/crates/gateway/src/connections/client/client_connections.rs
@@ -71,6 +71,16 @@
         self.count
     }
 
+    /// Returns the total bytes of input that is not run yet.
+    pub(crate) fn input_bytes(&self) -> usize {
+        self.partial_command_bytes + self.waiting_command_bytes
+    }
+
+    /// Returns the total bytes of replies that are not written yet, or reserved for them.
+    pub(crate) fn reply_bytes(&self) -> usize {
+        self.unsent_bytes + self.reserved_reply_bytes
+    }
+
     /// Returns the connection with this token; `None` if it is closed or being handled.
     pub(super) fn get(&self, token: ConnectionToken) -> Option<&ClientConnection> {
         self.connections.get(&token)
--- a/crates/gateway/src/console/command.rs
+++ b/crates/gateway/src/console/command.rs
@@ -46,7 +46,7 @@
 
 /// The text that the command `help` prints.
 pub const HELP: &str = "\
-status        print the numbers of nodes in service, connections and open requests
+status        print the numbers of nodes, connections and open requests, and how full tables are
 turns         print the longest turn of the event loop and the number of slow turns
 nodes         list nodes: shard, state, attempts in flight (out), units served
 volumes       list volumes: requests received (taken), served, rejected (refused), failed; units
--- a/crates/gateway/src/console/mod.rs
+++ b/crates/gateway/src/console/mod.rs
@@ -5,4 +5,4 @@
 mod tables;
 
 pub use command::{parse, ConsoleCommand, ConsoleError, HELP};
-pub use tables::{format_nodes, format_volumes};
+pub use tables::{format_nodes, format_table_sizes, format_volumes};
--- a/crates/gateway/src/console/tables.rs
+++ b/crates/gateway/src/console/tables.rs
@@ -1,7 +1,7 @@
-//! Formats the tables of nodes and volumes for the console.
+//! Formats the tables of nodes and volumes, and the sizes of tables, for the console.
 
 use crate::config::SftpVolume;
-use crate::dispatcher::{NodeState, VolumeCounters};
+use crate::dispatcher::{NamedTableSize, NodeState, VolumeCounters};
 use crate::hex_id::HexId;
 use io_scheduler::{EndpointStatus, Shard, Units, VolumeId};
 use std::collections::BTreeMap;
@@ -89,3 +89,18 @@
         None => HexId(id.0).to_string(),
     }
 }
+
+/// Formats how full the tables are whose keys clients choose, in one line.
+#[must_use]
+pub fn format_table_sizes(tables: &[NamedTableSize]) -> String {
+    let sizes: Vec<String> = tables
+        .iter()
+        .map(|table| {
+            format!(
+                "{} {} of {}",
+                table.name, table.size.entries, table.size.limit
+            )
+        })
+        .collect();
+    format!("{}\n", sizes.join(", "))
+}
--- a/crates/gateway/src/dispatcher/executed_requests.rs
+++ b/crates/gateway/src/dispatcher/executed_requests.rs
@@ -5,7 +5,7 @@
 //! If the gateway has read it, and a node may have executed it, a second execution of a request
 //! that is not idempotent would take effect twice.
 
-use io_scheduler::Micros;
+use io_scheduler::{Micros, TableSize};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasher, RandomState};
 
@@ -24,6 +24,8 @@
     hash_key: RandomState,
     /// Maximum number of remembered ids.
     limit: usize,
+    /// Number of ids that were forgotten before the end of [`RETENTION`].
+    evicted: u64,
 }
 
 impl ExecutedRequests {
@@ -34,6 +36,7 @@
             by_time: VecDeque::new(),
             hash_key: RandomState::new(),
             limit,
+            evicted: 0,
         }
     }
 
@@ -56,6 +59,16 @@
         self.forget_expired(now);
         while self.by_time.len() > self.limit {
             self.forget_first();
+            self.evicted += 1;
+        }
+    }
+
+    /// Returns the number of remembered ids, its limit and the number of ids forgotten early.
+    pub(super) fn size(&self) -> TableSize {
+        TableSize {
+            entries: self.by_time.len(),
+            limit: self.limit,
+            evicted: self.evicted,
         }
     }
 
--- a/crates/gateway/src/dispatcher/scheduling.rs
+++ b/crates/gateway/src/dispatcher/scheduling.rs
@@ -71,6 +71,7 @@
             self.apply_action(&action, now, timers);
         }
         self.actions = actions;
+        self.log_evictions(now);
     }
 
     /// Applies one action that the scheduler returned.
--- a/crates/gateway/src/dispatcher/state.rs
+++ b/crates/gateway/src/dispatcher/state.rs
@@ -3,6 +3,7 @@
 use super::command::Command;
 use super::executed_requests::ExecutedRequests;
 use super::node_registry::NodeRegistry;
+use super::table_sizes::EvictionLogs;
 use super::unfinished_requests::UnfinishedRequests;
 use super::volume_counters::{VolumeCounterTable, VolumeCounters};
 use crate::memory_budget::MemoryBudget;
@@ -37,6 +38,8 @@
     pub(super) commands: Vec<Command>,
     /// Expiry time of the scheduler's timer; `None` while the timer is not set.
     pub(super) scheduler_timer: Option<Micros>,
+    /// What was logged about evictions from full tables.
+    pub(super) eviction_logs: EvictionLogs,
 }
 
 impl Dispatcher {
@@ -70,6 +73,7 @@
             actions: Vec::new(),
             commands: Vec::new(),
             scheduler_timer: None,
+            eviction_logs: EvictionLogs::default(),
         })
     }
 
--- a/crates/gateway/src/dispatcher/submit.rs
+++ b/crates/gateway/src/dispatcher/submit.rs
@@ -1,8 +1,9 @@
 //! Accepts new requests, rejects them, or responds that they are invalid.
 //!
 //! A request with the client request id of an unfinished request, or of one that must not be
-//! executed again, is an error of the client; the response is that it is invalid. A request that would exceed the memory budget is rejected with
-//! Retry-After. All others are passed to the scheduler.
+//! executed again, is an error of the client; the response is that it is invalid. A request that
+//! would exceed the memory budget is rejected with Retry-After. All others are passed to the
+//! scheduler.
 
 use super::command::Command;
 use super::state::Dispatcher;
--- a/crates/gateway/src/dispatcher/unfinished_requests.rs
+++ b/crates/gateway/src/dispatcher/unfinished_requests.rs
@@ -3,7 +3,7 @@
 use super::unfinished_request::{AwaitedAttempt, UnfinishedRequest};
 use crate::memory_budget::MemoryBudget;
 use crate::storage_request::{AttemptId, StorageRequest};
-use io_scheduler::RequestId;
+use io_scheduler::{RequestId, TableSize};
 use std::collections::{HashMap, HashSet};
 
 /// The unfinished requests, within the limits of the memory budget.
@@ -93,6 +93,15 @@
         Some(removed)
     }
 
+    /// Returns the number of requests and its limit; none is evicted.
+    pub(super) fn size(&self) -> TableSize {
+        TableSize {
+            entries: self.requests.len(),
+            limit: self.budget.max_requests,
+            evicted: 0,
+        }
+    }
+
     /// Returns the number of requests that have no final response yet.
     pub(super) fn awaiting_response_count(&self) -> usize {
         self.requests
--- a/crates/gateway/src/event_loop/console.rs
+++ b/crates/gateway/src/event_loop/console.rs
@@ -92,7 +92,22 @@
         };
         format!(
             "{name}: {in_service} nodes in service, {clients} client connections, \
-             {node_connections} node connections, {requests} open requests{shutdown_suffix}\n"
+             {node_connections} node connections, {requests} open requests{shutdown_suffix}\n\
+             {}{}",
+            console::format_table_sizes(&self.context.dispatcher.table_sizes()),
+            self.format_buffers()
+        )
+    }
+
+    /// Formats how full the buffers of the clients are in one line.
+    fn format_buffers(&self) -> String {
+        let budget = self.context.config.memory_budget;
+        format!(
+            "input {} of {} bytes, replies {} of {} bytes\n",
+            self.client_connections.input_bytes(),
+            budget.input_bytes,
+            self.client_connections.reply_bytes(),
+            budget.unsent_reply_bytes
         )
     }
 
--- a/crates/gateway/tests/gateway_process/harness/requests.rs
+++ b/crates/gateway/tests/gateway_process/harness/requests.rs
@@ -40,6 +40,14 @@
     encode_read_request(id).replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d657")
 }
 
+/// A read of a volume from a shard with a deadline of 1 ms.
+pub fn encode_brief_read_request(id: &str, volume: u64, shard: u64) -> String {
+    encode_command(&format!(
+        "IO.IN 7f3a9c21e0b4d655 {id} \
+         c=read,t=gold,d=1,volume={volume:016x},units=2,shard={shard},hosts=1"
+    ))
+}
+
 /// A read from shard 0 with an additional parameter of an unknown name, whose value has this many
 /// bytes.
 pub fn encode_read_request_with_long_list(id: &str, value_bytes: usize) -> String {
