Read 16 KiB from a client in a turn, and from few of those that send without a pause

Cause: a turn of the event loop read up to 73 KB from each connection and ran all its commands; a request needs about three turns. Change: a turn reads at most 16 KiB from a connection. Of the connections whose last read was that long, a turn handles 16, those read longest ago first, after all other events; the poller reports the others again.

--- a/crates/gateway/src/connections/client/connection.rs
+++ b/crates/gateway/src/connections/client/connection.rs
@@ -12,9 +12,12 @@
 use io_scheduler::{Micros, RequestId};
 use std::io;
 
-/// Maximum input in bytes that is read from a connection in one turn of the event loop: the largest
-/// command, including the length lines of its arguments.
-const MAX_READ_BYTES: usize = MAX_COMMAND_BYTES + (2 << 10);
+/// Maximum input in bytes that is read from a connection in one turn of the event loop, so that a
+/// client that sends without a pause leaves time to others.
+const MAX_READ_BYTES: usize = 16 << 10;
+/// Maximum input in bytes that is read before a connection is closed: the largest command,
+/// including the length lines of its arguments.
+const MAX_LAST_READ_BYTES: usize = MAX_COMMAND_BYTES + (2 << 10);
 /// Maximum number of commands of one connection that wait for a reply. Further ones wait in the
 /// input buffer until a reply is sent.
 const MAX_PIPELINED_COMMANDS: usize = 32;
@@ -51,6 +54,9 @@
     /// sent a complete command or read some of its output, a response to one of its requests
     /// arrived, or the lingering close started.
     pub(super) last_active_at: Micros,
+    /// When input was last read, if that read was as long as is allowed in one turn, so that more
+    /// input is likely to follow; `None` otherwise.
+    pub(super) bulk_read_at: Option<Micros>,
     /// Since when the connection has had an incomplete command and no pending reply; `None` if
     /// either condition does not hold.
     pub(super) partial_command_since: Option<Micros>,
@@ -109,6 +115,7 @@
             lifecycle: Lifecycle::Open,
             eviction_rank: EvictionRank::NoCommand,
             last_active_at: now,
+            bulk_read_at: None,
             partial_command_since: None,
             eviction_candidate: None,
             counted_unsent_bytes: CountedBytes::default(),
@@ -209,10 +216,13 @@
         }
     }
 
-    /// Reads available input, up to [`MAX_READ_BYTES`] in addition to the buffered input.
-    pub(super) fn read_input(&mut self) -> io::Result<StreamStatus> {
+    /// Reads available input at the time `now`, up to [`MAX_READ_BYTES`].
+    pub(super) fn read_input(&mut self, now: Micros) -> io::Result<StreamStatus> {
         let max_buffered = self.socket.input.len() + MAX_READ_BYTES;
-        self.socket.read_available(max_buffered)
+        let status = self.socket.read_available(max_buffered)?;
+        let is_bulk = self.socket.input.len() == max_buffered;
+        self.bulk_read_at = is_bulk.then_some(now);
+        Ok(status)
     }
 
     /// Records that a complete command was run at the time `now`, and queues its reply if it is
@@ -227,7 +237,8 @@
     /// command in the meantime.
     pub(super) fn read_before_close(&mut self) -> PreCloseRead {
         let length_before = self.socket.input.len();
-        match self.read_input() {
+        let max_buffered = length_before + MAX_LAST_READ_BYTES;
+        match self.socket.read_available(max_buffered) {
             Ok(StreamStatus::Open) if self.socket.input.len() > length_before => {
                 PreCloseRead::Input
             }
--- a/crates/gateway/src/connections/client/events.rs
+++ b/crates/gateway/src/connections/client/events.rs
@@ -7,10 +7,17 @@
 use crate::connections::socket::StreamStatus;
 use crate::context::Context;
 use crate::storage_request::{ReplySlot, Response};
+use io_scheduler::Micros;
 use rustix::event::epoll::EventFlags;
 use std::io;
 
 impl ClientConnections {
+    /// Returns when input was last read from a connection whose client sends more than is read in
+    /// one turn of the event loop; `None` for other connections.
+    pub(crate) fn bulk_read_at(&self, token: ConnectionToken) -> Option<Micros> {
+        self.get(token)?.bulk_read_at
+    }
+
     /// Handles a connection that the poller has reported with `flags`.
     pub(crate) fn handle_ready(
         &mut self,
@@ -21,7 +28,7 @@
         let Some(mut client) = self.take(token) else {
             return;
         };
-        match read_input(&mut client, flags) {
+        match read_input(&mut client, flags, context.now) {
             Ok(StreamStatus::Open) => self.run_commands_and_flush(client, context),
             // The client has disconnected, so commands that are still in the input buffer are not
             // run.
@@ -80,7 +87,11 @@
 }
 
 /// Reads the available input of a connection that the poller has reported with `flags`.
-fn read_input(client: &mut ClientConnection, flags: EventFlags) -> io::Result<StreamStatus> {
+fn read_input(
+    client: &mut ClientConnection,
+    flags: EventFlags,
+    now: Micros,
+) -> io::Result<StreamStatus> {
     if let Lifecycle::Lingering { remaining_bytes } = &mut client.lifecycle {
         return client.socket.discard_available(remaining_bytes);
     }
@@ -90,7 +101,7 @@
         return Ok(StreamStatus::Ended);
     }
     if flags.contains(EventFlags::IN) {
-        return client.read_input();
+        return client.read_input(now);
     }
     Ok(StreamStatus::Open)
 }
--- a/crates/gateway/src/event_loop/turn.rs
+++ b/crates/gateway/src/event_loop/turn.rs
@@ -12,6 +12,10 @@
 /// Maximum number of poller events that are handled in one turn.
 const MAX_EVENTS_PER_TURN: usize = 256;
 
+/// Maximum number of client connections in one turn whose clients send more than is read in a turn.
+/// The others stay ready for the next turn; those that were read longest ago come first.
+const MAX_BULK_CLIENTS_PER_TURN: usize = 16;
+
 /// The order in which the ready descriptors of a turn are handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EventPriority {
@@ -21,18 +25,31 @@
     ClientClose,
     /// Everything else, in the order of the poller.
     Other,
+    /// A client connection from which as much was read at this time as is allowed in one turn.
+    BulkClient(Micros),
 }
 
 impl EventPriority {
-    /// Returns the priority of an event of a descriptor of this kind.
-    fn of(kind: Option<DescriptorKind>, flags: EventFlags) -> EventPriority {
+    /// Returns the priority of an event of a descriptor of this kind. `bulk_read_at` is when a
+    /// client connection was last read, if its client sends more than is read in one turn.
+    fn of(
+        kind: Option<DescriptorKind>,
+        flags: EventFlags,
+        bulk_read_at: Option<Micros>,
+    ) -> EventPriority {
         let is_end = flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
-        match kind {
-            Some(DescriptorKind::Discovery) => EventPriority::Discovery,
-            Some(DescriptorKind::Client) if is_end => EventPriority::ClientClose,
+        match (kind, bulk_read_at) {
+            (Some(DescriptorKind::Discovery), _) => EventPriority::Discovery,
+            (Some(DescriptorKind::Client), _) if is_end => EventPriority::ClientClose,
+            (Some(DescriptorKind::Client), Some(read_at)) => EventPriority::BulkClient(read_at),
             _ => EventPriority::Other,
         }
     }
+
+    /// Returns whether only some of the events with this priority are handled in one turn.
+    fn is_bulk(self) -> bool {
+        matches!(self, EventPriority::BulkClient(_))
+    }
 }
 
 impl Gateway {
@@ -72,17 +89,25 @@
     }
 
     /// Handles the ready descriptors. Notifications that forbid an attempt come first, in whatever
-    /// order the poller reports them: endpoint lists, then the closes of clients.
+    /// order the poller reports them: endpoint lists, then the closes of clients. Clients that send
+    /// without a pause come last, and only some of them; the poller reports the others again.
     fn handle_events(&mut self, events: &[Event]) {
         let priority = |event: &Event| {
             let token = ConnectionToken::from(event.data.u64());
-            EventPriority::of(self.context.descriptor_kind(token), event.flags)
+            let kind = self.context.descriptor_kind(token);
+            EventPriority::of(
+                kind,
+                event.flags,
+                self.client_connections.bulk_read_at(token),
+            )
         };
         let mut ordered: Vec<(EventPriority, &Event)> = events
             .iter()
             .map(|event| (priority(event), event))
             .collect();
         ordered.sort_by_key(|(priority, _)| *priority);
+        let first_bulk = ordered.partition_point(|(priority, _)| !priority.is_bulk());
+        ordered.truncate(first_bulk + MAX_BULK_CLIENTS_PER_TURN);
         for (_, event) in ordered {
             let flags = event.flags;
             let token = ConnectionToken::from(event.data.u64());
--- a/crates/gateway/tests/gateway_process/races/bad_clients.rs
+++ b/crates/gateway/tests/gateway_process/races/bad_clients.rs
@@ -7,6 +7,7 @@
 use crate::harness::requests::{
     encode_brief_read_request, encode_read_request, encode_read_request_with_unknown_parameters,
 };
+use crate::harness::resp::encode_command;
 
 /// As many parameters as fit into a command: their list has about 62,000 bytes.
 const LONG_LIST: usize = 9_100;
@@ -61,3 +62,21 @@
     let mut node = cluster.node_a.accept();
     serve_request(&mut node, &mut other_client, "a1", "one");
 }
+
+/// Many clients send `PING` without a pause. Guards against turns of the event loop that handle all
+/// that has arrived, and take longer than another client waits.
+#[test]
+fn clients_that_send_without_a_pause_leave_time_to_others() {
+    let cluster = TestCluster::start();
+    cluster.node_a.respond_in_background("value");
+    let pings = encode_command("PING").repeat(4_000);
+    for _ in 0..60 {
+        let sender = cluster.gateway.connect();
+        sender.send_repeatedly_in_background(pings.clone());
+    }
+    let mut client = cluster.gateway.connect();
+    for number in 0..5 {
+        client.send(encode_read_request(&format!("a{number}")));
+        client.expect_value("value");
+    }
+}
