Recognize a node's late second reply behind further replies

Cause: DuplicateReplies remembered the last value only, and forgot it at an error; and the reply to one barrier could release a reply that was held behind a later one. Change: the last 16 different values of a connection are remembered; a held reply is replaced by a following one that equals a remembered value; outstanding barriers are counted.

--- a/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
+++ b/crates/gateway/src/node_protocol/resp/duplicate_replies.rs
@@ -1,13 +1,14 @@
 //! Detection of duplicate replies.
 //!
 //! A RESP2 reply has no request id: it belongs to the oldest command without a reply. Some nodes
-//! send a reply a second time, some time later. If the next request has been written by then, the
+//! send a reply a second time, some time later. If a later request has been written by then, the
 //! duplicate arrives in the place of the reply to that request.
 //!
-//! A reply whose value equals the previous one on its connection is therefore held, and a barrier
-//! command is sent behind the request. Replies arrive in the order of their commands. If the reply
-//! to the barrier is next, the held reply belongs to the request. If a value is next, the held
-//! reply was a duplicate, and the value belongs to the request.
+//! A reply whose value equals one of the last [`REMEMBERED_VALUES`] on its connection is therefore
+//! held, and a barrier command is sent behind the request. Replies arrive in the order of their
+//! commands. If the reply to the barrier is next, the held reply belongs to the request. If a value
+//! is next, the held reply was a duplicate. The value belongs to the request, unless it equals a
+//! remembered one too: then it is held in place of the other.
 //!
 //! If an error is next, it may be either the reply to the request or that to the barrier, because a
 //! node that rejects everything rejects the barrier, too. The request may then have been executed.
@@ -20,17 +21,22 @@
 use crate::storage_request::{AttemptResult, ResponseBody};
 use foldhash::fast::FixedState;
 use io_scheduler::Outcome;
+use std::collections::VecDeque;
 use std::hash::BuildHasher;
 
+/// Number of values that are remembered on a connection. A duplicate arrives some milliseconds
+/// after its reply, in which a connection carries a few further replies.
+const REMEMBERED_VALUES: usize = 16;
+
 /// Recognizes duplicate replies on one connection.
 #[derive(Default)]
 pub(super) struct DuplicateReplies {
-    /// The value of the last reply; `None` if it had none, and on a new connection.
-    previous: Option<ValueFingerprint>,
-    /// A reply that equals the previous one and waits for the reply to the barrier.
+    /// The last different values, oldest first.
+    recent: VecDeque<ValueFingerprint>,
+    /// A reply that equals a recent one and waits for the reply to the barrier.
     held: Option<AttemptResult>,
-    /// Whether a barrier was sent and no reply to it has arrived.
-    is_barrier_outstanding: bool,
+    /// Number of barriers that were sent and not replied to. The held reply waits for the last one.
+    outstanding_barriers: usize,
 }
 
 /// What is remembered of a value. Equal values have equal fingerprints; the opposite need not hold.
@@ -61,13 +67,16 @@
     Use(AttemptResult),
     /// The reply is held. A barrier has to be sent.
     SendBarrier,
+    /// The reply is held in place of an earlier one, behind whose duplicate the barrier was sent.
+    HoldOnly,
 }
 
 /// What a reply to a barrier says.
 pub(super) enum BarrierVerdict {
     /// The held reply belongs to the request.
     Use(AttemptResult),
-    /// Nothing: another reply has already been used for the request.
+    /// Nothing: another reply has already been used for the request behind which the barrier was
+    /// sent.
     Skip,
     /// No barrier was sent.
     Unexpected,
@@ -77,24 +86,44 @@
     /// Decides on a reply that is not the reply to a barrier.
     pub(super) fn judge(&mut self, result: AttemptResult) -> Verdict {
         let fingerprint = ValueFingerprint::of(&result);
-        let equals_previous = fingerprint.is_some() && fingerprint == self.previous;
-        self.previous = fingerprint;
-        if self.held.take().is_some() {
+        let equals_recent = fingerprint.is_some_and(|value| self.remember(value));
+        let is_behind_held = self.held.take().is_some();
+        if !equals_recent && is_behind_held {
             return Verdict::Use(without_promise(result));
         }
-        if !equals_previous {
+        if !equals_recent {
             return Verdict::Use(result);
         }
         self.held = Some(result);
-        self.is_barrier_outstanding = true;
+        if is_behind_held {
+            return Verdict::HoldOnly;
+        }
+        self.outstanding_barriers += 1;
         Verdict::SendBarrier
     }
 
+    /// Remembers a value. Returns whether it equals a remembered one.
+    fn remember(&mut self, value: ValueFingerprint) -> bool {
+        let position = self.recent.iter().position(|recent| *recent == value);
+        if let Some(position) = position {
+            self.recent.remove(position);
+        }
+        self.recent.push_back(value);
+        if self.recent.len() > REMEMBERED_VALUES {
+            self.recent.pop_front();
+        }
+        position.is_some()
+    }
+
     /// Handles a reply to a barrier.
     pub(super) fn finish_barrier(&mut self) -> BarrierVerdict {
-        if !std::mem::take(&mut self.is_barrier_outstanding) {
+        if self.outstanding_barriers == 0 {
             return BarrierVerdict::Unexpected;
         }
+        self.outstanding_barriers -= 1;
+        if self.outstanding_barriers > 0 {
+            return BarrierVerdict::Skip;
+        }
         match self.held.take() {
             Some(held) => BarrierVerdict::Use(held),
             None => BarrierVerdict::Skip,
@@ -103,7 +132,7 @@
 
     /// Returns whether a barrier was sent and no reply to it has arrived.
     pub(super) fn is_barrier_outstanding(&self) -> bool {
-        self.is_barrier_outstanding
+        self.outstanding_barriers > 0
     }
 
     /// Returns the length in bytes of the held value.
--- a/crates/gateway/src/node_protocol/resp/protocol.rs
+++ b/crates/gateway/src/node_protocol/resp/protocol.rs
@@ -52,8 +52,9 @@
             },
             ReplyContent::Result(result) => match self.duplicates.judge(result) {
                 Verdict::Use(result) => result,
+                Verdict::HoldOnly => return Ok(None),
                 Verdict::SendBarrier => {
-                    log::debug!("a reply equals the previous one: sending a barrier");
+                    log::debug!("a reply equals an earlier one: sending a barrier");
                     append_command(command::BARRIER, out);
                     return Ok(None);
                 }
--- a/crates/gateway/tests/gateway_process/races/node_connections.rs
+++ b/crates/gateway/tests/gateway_process/races/node_connections.rs
@@ -11,7 +11,7 @@
 use crate::harness::node::FakeStorageNode;
 use crate::harness::requests::{
     encode_read_request, encode_read_request_for_another_object, encode_read_request_with_deadline,
-    encode_value_response, encode_write_request, SplitRequest,
+    encode_value_response, encode_write_request, encode_write_request_with_body, SplitRequest,
 };
 use crate::harness::wait_until;
 use std::time::{Duration, Instant};
@@ -240,6 +240,52 @@
     read.client.expect_value("three");
 }
 
+/// Two responses are sent a second time, behind one another, after a third request has been
+/// written. Guards against remembering only the last value: each of the two would be served to the
+/// client of the third request.
+#[test]
+fn late_second_responses_behind_another_response_are_not_used() {
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    read.complete("one");
+    read.client.send(encode_read_request("a2"));
+    serve_request(&mut read.node, &mut read.client, "a2", "two");
+    read.client.send(encode_read_request("a3"));
+    read.node.expect_request("a3");
+
+    read.node.respond("one");
+    read.node.expect_value(BARRIER);
+    read.node.respond("two");
+    read.node.respond("three");
+
+    read.client.expect_value("three");
+    read.client.send(encode_read_request("a4"));
+    read.node.expect_request("a4");
+    read.node.send(BARRIER_RESPONSE);
+    read.node.respond("four");
+    read.client.expect_value("four");
+}
+
+/// A response fails between a value and its late duplicate. Guards against forgetting the value.
+#[test]
+fn late_second_response_behind_a_failed_one_is_not_used() {
+    let cluster = TestCluster::start();
+    let mut read = cluster.start_read("a1");
+    read.complete("one");
+    read.client.send(encode_write_request_with_body("w2", 10));
+    read.node.expect_request("w2");
+    read.node.send("-ERR failed\r\n");
+    read.client.expect_value("-ERR failed");
+    read.client.send(encode_read_request("a3"));
+    read.node.expect_request("a3");
+
+    read.node.respond("one");
+    read.node.expect_value(BARRIER);
+    read.node.respond("three");
+
+    read.client.expect_value("three");
+}
+
 /// As before, with both responses ready in the same turn of the event loop.
 #[test]
 fn late_second_response_is_not_used_if_it_is_read_together_with_the_right_one() {
--- a/crates/gateway/tests/in_process/node_protocols.rs
+++ b/crates/gateway/tests/in_process/node_protocols.rs
@@ -182,6 +182,33 @@
     );
 }
 
+/// Encodes a node's reply with a value and no reports.
+fn resp_value(text: &str) -> String {
+    format!("*3\r\n${}\r\n{text}\r\n$-1\r\n$-1\r\n", text.len())
+}
+
+/// A duplicate arrives for a request that was written before the reply to an earlier barrier.
+/// Guards against taking that reply for the one to the barrier behind this request.
+#[test]
+fn reply_to_an_earlier_barrier_does_not_release_a_held_resp_reply() {
+    let [a, b, c, d] = ["a", "b", "c", "d"].map(resp_value);
+    let operations = [Operation::Read; 4];
+    // The third request gets the duplicate of `a`, then its own reply.
+    let third = format!("{a}{c}");
+    let two_barriers = RESP_BARRIER.repeat(2);
+    let duplicate = format!("{b}+OK\r\n");
+    assert_eq!(
+        last_resp_result(&operations, &[&a, &b, &third, &duplicate]),
+        (Ok(None), two_barriers.clone())
+    );
+    let served = Ok(Some(ComparableResult::served("d", None, 0.0)));
+    let duplicate_and_reply = duplicate + &d;
+    assert_eq!(
+        last_resp_result(&operations, &[&a, &b, &third, &duplicate_and_reply]),
+        (served, two_barriers)
+    );
+}
+
 /// A node may give equal replies to two requests. Guards against discarding the second one.
 #[test]
 fn equal_resp_reply_is_used_once_the_barrier_is_replied_to() {
