Leave out the time behind an unanswered request when the soak judges a lost one

Why the rule was wrong: PROTOCOL, "Figures": "On a connection, answers come in the order of its commands; the time spent waiting for those before one does not count." The judge left that time out only if the earlier request had a reply. Change: a request without a reply counts as answered when its reply is due, and the next one of its connection is due from then on. It is as strict otherwise: once the earlier reply was due, the later request is lost.

--- a/crates/soak/src/judge/history.rs
+++ b/crates/soak/src/judge/history.rs
@@ -1,5 +1,6 @@
 //! The records of a run, arranged for the rules.
 
+use super::lost::due_at;
 use super::{Rule, Violation};
 use crate::record::{
     Event, GatewayIndex, NodeStatus, ReceivedAttempt, Record, ReplyKind, SentRequest,
@@ -17,9 +18,9 @@
     pub gateway: GatewayIndex,
     /// The reply and its time.
     pub reply: Option<(Duration, ReplyKind)>,
-    /// When the request before it on the same connection had its reply: replies are sent in the
-    /// order of the requests.
-    pub previous_reply_at: Option<Duration>,
+    /// When its reply is due. Replies are sent in the order of the requests of a connection, so
+    /// that it may wait for that to the request before it, at most until that one is due.
+    pub reply_due_at: Duration,
     /// The attempts that nodes received.
     pub attempts: Vec<&'a ReceivedAttempt>,
 }
@@ -122,20 +123,23 @@
         for record in records {
             history.add(record);
         }
-        history.set_previous_replies();
+        history.set_due_times();
         history
     }
 
-    /// Sets the times of the replies that requests had to wait for.
-    fn set_previous_replies(&mut self) {
+    /// Sets when the replies are due that have to wait for others.
+    fn set_due_times(&mut self) {
         let mut requests: Vec<&mut RequestHistory<'a>> = self.requests.values_mut().collect();
         requests.sort_by_key(|request| (request.sent.connection, request.sent_at));
         let mut previous: Option<(u64, Duration)> = None;
         for request in requests {
             let connection = request.sent.connection;
             let is_same = |(other, _): &(u64, Duration)| *other == connection;
-            request.previous_reply_at = previous.filter(is_same).map(|(_, at)| at);
-            previous = request.reply.map(|(at, _)| (connection, at));
+            let previous_reply_at = previous.filter(is_same).map(|(_, at)| at);
+            let client_time = request.sent_at + request.sent.timeout;
+            request.reply_due_at = due_at(client_time, previous_reply_at);
+            let answered_at = request.reply.map_or(request.reply_due_at, |(at, _)| at);
+            previous = Some((connection, answered_at));
         }
     }
 
@@ -193,7 +197,7 @@
             sent_at: at,
             gateway,
             reply: None,
-            previous_reply_at: None,
+            reply_due_at: due_at(at + sent.timeout, None),
             attempts: Vec::new(),
         };
         self.requests.insert(&sent.request, history);
--- a/crates/soak/src/judge/lost.rs
+++ b/crates/soak/src/judge/lost.rs
@@ -1,5 +1,6 @@
 //! Every request gets its final reply: at most half a second after its time, and before the kill if
-//! it was sent more than 0.7 s after SIGTERM.
+//! it was sent more than 0.7 s after SIGTERM. The time for which its reply waits behind that to an
+//! earlier request of its connection does not count.
 
 use super::history::{History, ProcessHistory, RequestHistory};
 use super::{Rule, Violation, PROTOCOL_SLACK};
@@ -11,6 +12,14 @@
 /// A request that was sent within this time after SIGTERM may be unanswered at the kill.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(700);
 
+/// Returns when a reply is due. `client_time` is when the client's time is over, and
+/// `previous_reply_at` when the request before it on its connection was answered, or was due if it
+/// was not.
+pub(super) fn due_at(client_time: Duration, previous_reply_at: Option<Duration>) -> Duration {
+    let due_at = client_time + LATE_REPLY + PROTOCOL_SLACK;
+    previous_reply_at.map_or(due_at, |at| due_at.max(at + PROTOCOL_SLACK))
+}
+
 /// Returns the lost requests.
 pub(super) fn violations(history: &History<'_>) -> Vec<Violation> {
     let requests = history.requests.values();
@@ -21,10 +30,7 @@
 
 /// Returns the violation of a request, if there is one.
 fn violation(history: &History<'_>, request: &RequestHistory<'_>) -> Option<Violation> {
-    let due_at = request.sent_at + request.sent.timeout + LATE_REPLY + PROTOCOL_SLACK;
-    let due_at = request
-        .previous_reply_at
-        .map_or(due_at, |at| due_at.max(at + PROTOCOL_SLACK));
+    let due_at = request.reply_due_at;
     let text = match request.reply {
         Some((_, ReplyKind::WrongValue)) => "the value is not that of the request".to_owned(),
         Some((at, _)) if at <= due_at => return None,
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -201,6 +201,30 @@
     assert_eq!(violated(&records(2_551)), [Rule::Lost]);
 }
 
+/// The process is killed while a forwarded request waits for the reply to the one before it, which
+/// is not due yet. Guards against reporting it (seed 155); once that reply was due, it is lost.
+#[test]
+fn request_behind_one_that_is_not_due_is_not_lost_at_a_kill() {
+    let first = SentRequest {
+        connection: CONNECTION,
+        request: "a0".to_owned(),
+        is_idempotent: true,
+        timeout: 3 * TIMEOUT,
+    };
+    let records = |killed_at| {
+        let connection = CONNECTION;
+        [
+            event(99, Event::RequestSent(first.clone())),
+            sent(100, true),
+            attempt(110, 900),
+            event(killed_at, Event::Killed),
+            event(killed_at, Event::ConnectionEnded { connection }),
+        ]
+    };
+    assert!(violated(&records(3_698)).is_empty());
+    assert_eq!(violated(&records(3_700)), [Rule::Lost]);
+}
+
 #[test]
 fn attempt_after_the_drain_grace_is_a_violation() {
     let records = |at| {
