Plan no hold right behind another one in the soak

Cause: the plan holds gateway 0 from 1.535 to 1.674 s and again from 1.674 to 1.792 s. The log of the gateway has no line between 1.523 and 1.790 s. Change: a hold that would begin within 20 ms after another one of its process is left out.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -21,6 +21,8 @@
     (Duration::from_millis(400), Duration::from_millis(5_000));
 /// The longest hold of a process.
 const MAX_HOLD_MS: u64 = 150;
+/// How long a process runs at least between two holds, so that they do not add up to a longer one.
+const MIN_RUN_BETWEEN_HOLDS: Duration = Duration::from_millis(20);
 
 /// Groups of faults that can be switched on and off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, ValueEnum)]
@@ -349,13 +351,25 @@
         }
     }
 
-    /// Processes are held up.
+    /// Processes are held up. A hold that would begin right behind another one is left out.
     fn add_holds(&mut self) {
         for gateway in 0..self.gateways {
-            for _ in 0..12 {
-                let at = self.time(Duration::from_millis(500));
-                let hold_ms = self.random.random_range(20..=MAX_HOLD_MS - 10);
+            let mut holds: Vec<(Duration, u64)> = (0..12)
+                .map(|_| {
+                    let at = self.time(Duration::from_millis(500));
+                    (at, self.random.random_range(20..=MAX_HOLD_MS - 10))
+                })
+                .collect();
+            holds.sort_unstable();
+            let mut held_until = Duration::ZERO;
+            for (at, hold_ms) in holds {
+                if at >= held_until && at < held_until + MIN_RUN_BETWEEN_HOLDS {
+                    continue;
+                }
                 self.add(at, Action::Hold { gateway, hold_ms });
+                // The process runs again at the end of the first of two holds that overlap.
+                let end = at + Duration::from_millis(hold_ms);
+                held_until = if at < held_until { held_until } else { end };
             }
         }
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -2,7 +2,8 @@
 
 use gateway_soak::arguments::{Arguments, SeedRange};
 use gateway_soak::plan::{plan, Action, FaultClass, Scenario, RUN_TIME};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use clap::Parser;
 
@@ -35,6 +36,29 @@
     }
 }
 
+/// Two holds in a row, with no time to run in between, are one longer hold, which the terms do not
+/// have. The second one of a pair that overlaps has no effect: the end of the first continues the
+/// process.
+#[test]
+fn holds_in_a_row_do_not_add_up_to_a_longer_one() {
+    const MIN_RUN: Duration = Duration::from_millis(20);
+    for seed in 0..300 {
+        let steps = plan(seed, Scenario::Drain, &BTreeSet::new()).steps;
+        let mut held_until: BTreeMap<usize, Duration> = BTreeMap::new();
+        for step in steps {
+            let Action::Hold { gateway, hold_ms } = step.action else {
+                continue;
+            };
+            let end = step.at + Duration::from_millis(hold_ms);
+            let until = held_until.entry(gateway).or_default();
+            if step.at >= *until {
+                assert!(step.at >= *until + MIN_RUN, "seed {seed} at {:?}", step.at);
+                *until = end;
+            }
+        }
+    }
+}
+
 #[test]
 fn class_that_is_left_out_has_no_steps() {
     let without = BTreeSet::from([FaultClass::Signals, FaultClass::Holds]);
