Read replies in the soak while a client pauses within a request

Cause: by the gateway's log the request was received, served and answered within 1.3 ms. The client of the soak had sent it as one of several at once, was writing a later one in pieces with pauses of up to 0.3 s, and read the reply 0.77 s later, when it was done. The judge took the time of the reading for that of the reply. Change: a client reads while it pauses, and records each reply with the time at which its last byte was read. The rule and its bound are unchanged.

--- a/crates/soak/src/rig/client.rs
+++ b/crates/soak/src/rig/client.rs
@@ -12,6 +12,7 @@
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
+use std::ops::ControlFlow;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::PoisonError;
 use std::thread::{self, JoinHandle};
@@ -59,6 +60,16 @@
     stream: TcpStream,
     /// Decodes the replies.
     decoder: StreamDecoder,
+    /// The replies that have arrived and were not recorded yet.
+    received: VecDeque<ReceivedReply>,
+}
+
+/// A reply with the time at which its last byte was read.
+struct ReceivedReply {
+    /// The reply.
+    value: Value,
+    /// When it was read.
+    received_at: Duration,
 }
 
 /// Why a client stops using a connection.
@@ -115,6 +126,7 @@
             id,
             stream,
             decoder: StreamDecoder::default(),
+            received: VecDeque::new(),
         };
         let _ = connection.stream.set_nodelay(true);
         let ready = if gateway.is_ready {
@@ -141,12 +153,14 @@
         self.shared.recorder.add(self.gateway, event);
     }
 
-    /// Records the reply to a request.
-    fn record_reply(&self, value: &Value, request: &RequestText) {
-        self.record(Event::ReplyReceived {
+    /// Records the reply to a request at the time of its arrival.
+    fn record_reply(&self, reply: &ReceivedReply, request: &RequestText) {
+        let event = Event::ReplyReceived {
             request: request.id.clone(),
-            reply: reply_kind(value, &request.id),
-        });
+            reply: reply_kind(&reply.value, &request.id),
+        };
+        let recorder = &self.shared.recorder;
+        recorder.add_at(reply.received_at, Some(self.gateway), event);
     }
 
     /// Returns whether the client does not wait for a reply before it sends the next request.
@@ -188,8 +202,8 @@
         while let Some((request, sent_at)) = pending.front() {
             let due_at = *sent_at + request.timeout + EXTRA_WAIT;
             match self.receive(connection, next_at) {
-                Ok(value) => {
-                    self.record_reply(&value, request);
+                Ok(reply) => {
+                    self.record_reply(&reply, request);
                     pending.pop_front();
                 }
                 Err(Stop::Close) if self.shared.recorder.now() < due_at => return Ok(()),
@@ -281,8 +295,8 @@
         }
         while let Some((request, sent_at)) = pending.pop_front() {
             let until = sent_at + request.timeout + EXTRA_WAIT;
-            let value = self.receive(connection, until)?;
-            self.record_reply(&value, &request);
+            let reply = self.receive(connection, until)?;
+            self.record_reply(&reply, &request);
         }
         written
     }
@@ -303,7 +317,9 @@
         let (first, last) = text.as_bytes().split_at(split_at);
         if is_split {
             connection.write(first)?;
-            thread::sleep(Duration::from_millis(self.random.random_range(1..300)));
+            let pause = Duration::from_millis(self.random.random_range(1..300));
+            let until = self.shared.recorder.now() + pause;
+            self.receive_while_waiting(connection, until)?;
         }
         connection.write(last)?;
         self.record(Event::RequestSent(SentRequest {
@@ -316,29 +332,60 @@
     }
 
     /// Waits for the next reply, until a time of the run.
-    fn receive(&self, connection: &mut ClientConnection, until: Duration) -> Result<Value, Stop> {
-        let mut bytes = [0; 4 << 10];
+    fn receive(
+        &self,
+        connection: &mut ClientConnection,
+        until: Duration,
+    ) -> Result<ReceivedReply, Stop> {
         loop {
-            if let Some((value, _)) = connection.decoder.next() {
-                return Ok(value);
+            if let Some(reply) = connection.received.pop_front() {
+                return Ok(reply);
             }
-            let now = self.shared.recorder.now();
-            if now >= until {
+            if self.read_once(connection, until)?.is_break() {
                 return Err(Stop::Close);
             }
-            let set = connection.stream.set_read_timeout(Some(until - now));
-            set.map_err(|_| Stop::Ended)?;
-            match connection.stream.read(&mut bytes) {
-                Ok(0) => return Err(Stop::Ended),
-                Ok(count) => {
-                    let now = self.shared.recorder.now();
-                    connection.decoder.feed(&bytes[..count], now);
+        }
+    }
+
+    /// Waits until a time of the run, and keeps the replies that arrive meanwhile.
+    fn receive_while_waiting(
+        &self,
+        connection: &mut ClientConnection,
+        until: Duration,
+    ) -> Result<(), Stop> {
+        while self.read_once(connection, until)?.is_continue() {}
+        Ok(())
+    }
+
+    /// Reads what arrives, at most until a time of the run, and keeps the complete replies with
+    /// their time. Returns `Break` once the time has come.
+    fn read_once(
+        &self,
+        connection: &mut ClientConnection,
+        until: Duration,
+    ) -> Result<ControlFlow<()>, Stop> {
+        let now = self.shared.recorder.now();
+        if now >= until {
+            return Ok(ControlFlow::Break(()));
+        }
+        let set = connection.stream.set_read_timeout(Some(until - now));
+        set.map_err(|_| Stop::Ended)?;
+        let mut bytes = [0; 4 << 10];
+        match connection.stream.read(&mut bytes) {
+            Ok(0) => return Err(Stop::Ended),
+            Ok(count) => {
+                let received_at = self.shared.recorder.now();
+                connection.decoder.feed(&bytes[..count], received_at);
+                while let Some((value, _)) = connection.decoder.next() {
+                    let reply = ReceivedReply { value, received_at };
+                    connection.received.push_back(reply);
                 }
-                Err(error) if is_timeout(&error) => {}
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Err(Stop::Ended),
             }
+            Err(error) if is_timeout(&error) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return Err(Stop::Ended),
         }
+        Ok(ControlFlow::Continue(()))
     }
 }
 
